--- /dev/null
+++ b/wigeonmast-core/src/main/java/org/wigeonmast/core/AuditKind.java
@@ -0,0 +1,43 @@
+package org.wigeonmast.core;
+
+/**
+ * The kind of decision that an audit entry records.
+ * <p>
+ * Thread safety: immutable.
+ */
+public enum AuditKind {
+
+	/** A backend server was ejected. */
+	EJECTED,
+
+	/** An ejection was wanted and no permit was free. */
+	EJECTION_DENIED,
+
+	/** An ejected backend server returned. */
+	RETURNED,
+
+	/** The floor guard ignored an ejection. */
+	FLOOR_GUARD,
+
+	/** A backend server started to leave. */
+	LEAVING,
+
+	/** A request was refused. */
+	REFUSED,
+
+	/** The ownership of a service changed. */
+	OWNERSHIP,
+
+	/** A manifest was accepted. */
+	MANIFEST_ACCEPTED,
+
+	/** A manifest was rejected. */
+	MANIFEST_REJECTED,
+
+	/** A member changed its state. */
+	MEMBER,
+
+	/** The daemon changed between starting, ready, draining and stopped. */
+	LIFECYCLE
+
+}
--- /dev/null
+++ b/wigeonmast-core/src/main/java/org/wigeonmast/core/DaemonId.java
@@ -0,0 +1,25 @@
+package org.wigeonmast.core;
+
+/**
+ * The identity of one start of a daemon.
+ * <p>
+ * Thread safety: immutable. Invariant: a daemon that restarts under the same name has a
+ * higher incarnation.
+ *
+ * @param name the daemon's name, unique in the fleet
+ * @param incarnation the number of this start
+ */
+public record DaemonId(String name, long incarnation) implements Comparable<DaemonId> {
+
+	@Override
+	public int compareTo(DaemonId other) {
+		int byName = this.name.compareTo(other.name);
+		return (byName != 0) ? byName : Long.compare(this.incarnation, other.incarnation);
+	}
+
+	@Override
+	public String toString() {
+		return this.name + "#" + this.incarnation;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-core/src/main/java/org/wigeonmast/core/FailureDomain.java
@@ -0,0 +1,18 @@
+package org.wigeonmast.core;
+
+/**
+ * A failure domain: hosts of one region that can fail together.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param region the region
+ * @param name the name within the region
+ */
+public record FailureDomain(Region region, String name) {
+
+	@Override
+	public String toString() {
+		return this.region + "/" + this.name;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Slots, queues, requests, retries and request identifiers.
+ */
+@NullMarked
+package org.wigeonmast.dispatch;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wigeonmast-testing/src/main/java/org/wigeonmast/testing/FakeBackendServer.java
@@ -0,0 +1,178 @@
+package org.wigeonmast.testing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Backend server in virtual time with slots, a queue and faults that can be switched on.
+ * <p>
+ * Thread safety: none. Invariant: at most as many requests run at once as there are
+ * slots; each run is recorded in {@link #runs()}.
+ */
+public final class FakeBackendServer {
+
+	private final EventQueue queue;
+
+	private final RandomGenerator random;
+
+	private final int slots;
+
+	private final int queueLimit;
+
+	private final Deque<Work> waiting = new ArrayDeque<>();
+
+	private final Map<String, Work> running = new HashMap<>();
+
+	private final List<String> runs = new ArrayList<>();
+
+	private double slowdown = 1;
+
+	private double failureShare;
+
+	private boolean silent;
+
+	/**
+	 * Creates a server.
+	 * @param queue the event queue
+	 * @param random the random numbers for failures
+	 * @param slots the number of requests that run at once
+	 * @param queueLimit the number of requests that wait before further ones are shed
+	 */
+	public FakeBackendServer(EventQueue queue, RandomGenerator random, int slots, int queueLimit) {
+		this.queue = queue;
+		this.random = random;
+		this.slots = slots;
+		this.queueLimit = queueLimit;
+	}
+
+	/**
+	 * Sets how many times longer work takes.
+	 * @param slowdown the factor, 1 for a healthy server
+	 */
+	public void setSlowdown(double slowdown) {
+		this.slowdown = slowdown;
+	}
+
+	/**
+	 * Sets the share of work that fails after it ran.
+	 * @param failureShare the share, 0 to 1
+	 */
+	public void setFailureShare(double failureShare) {
+		this.failureShare = failureShare;
+	}
+
+	/**
+	 * Makes the server run work without ever replying.
+	 * @param silent whether replies are withheld
+	 */
+	public void setSilent(boolean silent) {
+		this.silent = silent;
+	}
+
+	/**
+	 * Returns the identifiers of all requests that were started, in order.
+	 * @return the identifiers
+	 */
+	public List<String> runs() {
+		return this.runs;
+	}
+
+	/**
+	 * Returns the number of requests that run or wait.
+	 * @return the number
+	 */
+	public int load() {
+		return this.running.size() + this.waiting.size();
+	}
+
+	/**
+	 * Submits a request.
+	 * @param request the identifier
+	 * @param duration the time of service of a healthy server in microseconds
+	 * @param reply takes the result
+	 */
+	public void submit(String request, long duration, Consumer<Result> reply) {
+		Work work = new Work(request, duration, reply);
+		if (this.running.size() < this.slots) {
+			start(work);
+		}
+		else if (this.waiting.size() < this.queueLimit) {
+			this.waiting.add(work);
+		}
+		else {
+			reply.accept(Result.SHED);
+		}
+	}
+
+	/**
+	 * Cancels a request: a waiting one is dropped, a running one frees its slot at once.
+	 * @param request the identifier
+	 */
+	public void cancel(String request) {
+		this.waiting.removeIf((work) -> work.request.equals(request));
+		if (this.running.remove(request) != null) {
+			startNext();
+		}
+	}
+
+	private void start(Work work) {
+		this.running.put(work.request, work);
+		this.runs.add(work.request);
+		this.queue.schedule((long) (work.duration * this.slowdown), () -> finish(work));
+	}
+
+	private void finish(Work work) {
+		if (!this.running.remove(work.request, work)) {
+			return;
+		}
+		startNext();
+		if (!this.silent) {
+			boolean failed = this.random.nextDouble() < this.failureShare;
+			work.reply.accept(failed ? Result.FAILED : Result.SUCCEEDED);
+		}
+	}
+
+	private void startNext() {
+		Work next = this.waiting.poll();
+		if (next != null) {
+			start(next);
+		}
+	}
+
+	/** Result of a request. */
+	public enum Result {
+
+		/** The request ran and succeeded. */
+		SUCCEEDED,
+
+		/** The request ran and failed. */
+		FAILED,
+
+		/** The request was refused without being run. */
+		SHED
+
+	}
+
+	private static final class Work {
+
+		private final String request;
+
+		private final long duration;
+
+		private final Consumer<Result> reply;
+
+		private Work(String request, long duration, Consumer<Result> reply) {
+			this.request = request;
+			this.duration = duration;
+			this.reply = reply;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-testing/src/main/java/org/wigeonmast/testing/FakeNetwork.java
@@ -0,0 +1,109 @@
+package org.wigeonmast.testing;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.ToLongBiFunction;
+import java.util.random.RandomGenerator;
+
+/**
+ * Network in virtual time with delay, loss and one-way cuts.
+ * <p>
+ * Thread safety: none. Invariant: a message that crosses a cut at the time of sending or
+ * of arrival is lost.
+ *
+ * @param <A> the addresses
+ * @param <M> the messages
+ */
+public final class FakeNetwork<A, M> {
+
+	private final EventQueue queue;
+
+	private final RandomGenerator random;
+
+	private final ToLongBiFunction<A, A> delay;
+
+	private final Map<A, BiConsumer<A, M>> receivers = new HashMap<>();
+
+	private final Set<Direction<A>> cuts = new HashSet<>();
+
+	private double loss;
+
+	/**
+	 * Creates a network.
+	 * @param queue the event queue
+	 * @param random the random numbers for loss
+	 * @param delay the one-way delay in microseconds between two addresses
+	 */
+	public FakeNetwork(EventQueue queue, RandomGenerator random, ToLongBiFunction<A, A> delay) {
+		this.queue = queue;
+		this.random = random;
+		this.delay = delay;
+	}
+
+	/**
+	 * Registers the receiver of an address, in place of an earlier one.
+	 * @param address the address
+	 * @param receiver takes the sender and the message
+	 */
+	public void register(A address, BiConsumer<A, M> receiver) {
+		this.receivers.put(address, receiver);
+	}
+
+	/**
+	 * Removes the receiver of an address; messages to it are lost from then on.
+	 * @param address the address
+	 */
+	public void remove(A address) {
+		this.receivers.remove(address);
+	}
+
+	/**
+	 * Sets the share of messages that are lost.
+	 * @param loss the share, 0 to 1
+	 */
+	public void setLoss(double loss) {
+		this.loss = loss;
+	}
+
+	/**
+	 * Cuts one direction.
+	 * @param from the sender
+	 * @param to the receiver
+	 */
+	public void cut(A from, A to) {
+		this.cuts.add(new Direction<>(from, to));
+	}
+
+	/** Heals all cuts. */
+	public void heal() {
+		this.cuts.clear();
+	}
+
+	/**
+	 * Sends a message.
+	 * @param from the sender
+	 * @param to the receiver
+	 * @param message the message
+	 */
+	public void send(A from, A to, M message) {
+		Direction<A> direction = new Direction<>(from, to);
+		if (this.cuts.contains(direction) || this.random.nextDouble() < this.loss) {
+			return;
+		}
+		this.queue.schedule(this.delay.applyAsLong(from, to), () -> deliver(direction, message));
+	}
+
+	private void deliver(Direction<A> direction, M message) {
+		BiConsumer<A, M> receiver = this.receivers.get(direction.to);
+		if (receiver != null && !this.cuts.contains(direction)) {
+			receiver.accept(direction.from, message);
+		}
+	}
+
+	private record Direction<A>(A from, A to) {
+	}
+
+}
