--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/AttemptReport.java
@@ -0,0 +1,48 @@
+package org.wigeonmast.dispatch;
+
+/**
+ * What the proxy saw of one attempt at a backend server.
+ * <p>
+ * Thread safety: immutable. Invariant: {@link NothingSent} is reported only when no byte
+ * of the request has been handed to the operating system.
+ */
+public sealed interface AttemptReport {
+
+	/**
+	 * No byte of the request left the daemon; the attempt has ended.
+	 *
+	 * @param reason what went wrong
+	 */
+	record NothingSent(String reason) implements AttemptReport {
+	}
+
+	/**
+	 * The response head arrived; the proxy holds the response until told to relay or to
+	 * discard it.
+	 *
+	 * @param status the HTTP status
+	 * @param notRun whether the server states that it did not run the request
+	 * @param leaving whether the server states that it is leaving
+	 */
+	record ResponseStarted(int status, boolean notRun, boolean leaving) implements AttemptReport {
+	}
+
+	/**
+	 * The whole response was relayed to the caller; the attempt has ended.
+	 *
+	 * @param status the HTTP status
+	 */
+	record Completed(int status) implements AttemptReport {
+	}
+
+	/**
+	 * The attempt ended after bytes were sent and before its response was complete.
+	 *
+	 * @param responseStarted whether part of the response was relayed to the caller
+	 * @param timedOut whether the daemon gave up waiting
+	 * @param reason what went wrong
+	 */
+	record Broken(boolean responseStarted, boolean timedOut, String reason) implements AttemptReport {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/RequestDescription.java
@@ -0,0 +1,27 @@
+package org.wigeonmast.dispatch;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.CallerId;
+import org.wigeonmast.core.RequestId;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * What dispatch needs to know about a caller's request.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param id the identifier, unique for this start of the daemon
+ * @param caller the caller
+ * @param service the service
+ * @param workClass the class of work
+ * @param idempotent whether the request may run more than once
+ * @param deadline the monotonic time in milliseconds after which the answer is of no use
+ * @param replayable whether the whole body is held in memory, so that it can be sent
+ * again
+ * @param key the idempotency key, if the caller sent one
+ * @param declaredAttempt the caller's attempt number, 0 if not declared
+ */
+public record RequestDescription(RequestId id, CallerId caller, ServiceName service, WorkClass workClass,
+		boolean idempotent, long deadline, boolean replayable, @Nullable String key, int declaredAttempt) {
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/BackendServer.java
@@ -0,0 +1,20 @@
+package org.wigeonmast.manifest;
+
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.HostAddress;
+
+/**
+ * A backend server of a service.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param id the identifier
+ * @param address where it accepts HTTP/1.1 connections
+ * @param failureDomain the failure domain in which it runs
+ * @param slots the number of requests that it runs at once
+ * @param connections the number of connections that it accepts from the whole fleet
+ */
+public record BackendServer(BackendServerId id, HostAddress address, FailureDomain failureDomain, int slots,
+		int connections) {
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/Route.java
@@ -0,0 +1,19 @@
+package org.wigeonmast.manifest;
+
+import org.wigeonmast.core.ServiceName;
+
+/**
+ * A route from a method and a path prefix to a service.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param method the HTTP method, or {@code *} for every method
+ * @param pathPrefix the path prefix, which matches whole segments
+ * @param service the service
+ * @param workClass the class of its requests
+ * @param idempotent whether running a request twice has the effect of running it once
+ * @param timeout the time in milliseconds for a whole request when the caller states none
+ */
+public record Route(String method, String pathPrefix, ServiceName service, WorkClass workClass, boolean idempotent,
+		long timeout) {
+}
