--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/ManifestChecker.java
@@ -0,0 +1,30 @@
+package org.wigeonmast.manifest;
+
+import java.util.List;
+import java.util.Map;
+
+import io.vavr.control.Either;
+
+/**
+ * Checks a manifest as a whole.
+ * <p>
+ * Thread safety: implementations are immutable.
+ */
+public interface ManifestChecker {
+
+	/**
+	 * Reads an index.
+	 * @param bytes the bytes of the index
+	 * @return the index, or every error found
+	 */
+	Either<List<String>, ManifestIndex> readIndex(byte[] bytes);
+
+	/**
+	 * Reads and checks all parts.
+	 * @param index the index
+	 * @param parts the bytes of the parts by hash
+	 * @return the manifest, or every error found
+	 */
+	Either<List<String>, Manifest> check(ManifestIndex index, Map<String, byte[]> parts);
+
+}
