--- /dev/null
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/SharedKey.java
@@ -0,0 +1,53 @@
+package org.wigeonmast.settings;
+
+import java.security.MessageDigest;
+
+/**
+ * The key that the daemons of a fleet share.
+ * <p>
+ * Thread safety: immutable. Invariants: the key has at least {@link #LEAST_LENGTH} bytes;
+ * its text form does not reveal it.
+ */
+public final class SharedKey {
+
+	/** Least length of a key in bytes, the output length of HMAC-SHA-256. */
+	public static final int LEAST_LENGTH = 32;
+
+	private final byte[] bytes;
+
+	/**
+	 * Creates a key.
+	 * @param bytes the bytes of the key
+	 * @throws IllegalArgumentException if the key is too short
+	 */
+	public SharedKey(byte[] bytes) {
+		if (bytes.length < LEAST_LENGTH) {
+			throw new IllegalArgumentException("A shared key needs at least " + LEAST_LENGTH + " bytes");
+		}
+		this.bytes = bytes.clone();
+	}
+
+	/**
+	 * Returns the bytes of the key.
+	 * @return a copy
+	 */
+	public byte[] bytes() {
+		return this.bytes.clone();
+	}
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof SharedKey key && MessageDigest.isEqual(this.bytes, key.bytes);
+	}
+
+	@Override
+	public int hashCode() {
+		return SharedKey.class.hashCode();
+	}
+
+	@Override
+	public String toString() {
+		return "(hidden)";
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/StoreSettings.java
@@ -0,0 +1,31 @@
+package org.wigeonmast.settings;
+
+import java.net.URI;
+
+/**
+ * The settings of the client of the platform's configuration store.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param baseUrl the URL before {@code /manifest/index} and {@code /hosts}, without a
+ * slash at the end
+ * @param callTimeout the time in milliseconds for a read
+ * @param watchWait the time in milliseconds that a watch waits for a change
+ */
+public record StoreSettings(URI baseUrl, long callTimeout, long watchWait) {
+
+	/** Default of {@link #callTimeout()} in milliseconds. */
+	public static final long DEFAULT_CALL_TIMEOUT = 2_000;
+
+	/** Default of {@link #watchWait()} in milliseconds. */
+	public static final long DEFAULT_WATCH_WAIT = 30_000;
+
+	/**
+	 * Creates settings with the default times.
+	 * @param baseUrl the URL before {@code /manifest/index} and {@code /hosts}
+	 */
+	public StoreSettings(URI baseUrl) {
+		this(baseUrl, DEFAULT_CALL_TIMEOUT, DEFAULT_WATCH_WAIT);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/AddressType.java
@@ -0,0 +1,53 @@
+package org.wigeonmast.settings.internal;
+
+import java.net.InetAddress;
+
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An IP address in its usual text form.
+ * <p>
+ * Thread safety: immutable. Invariant: no name is resolved.
+ */
+final class AddressType implements ValueType<String> {
+
+	private final boolean anyAllowed;
+
+	AddressType(boolean anyAllowed) {
+		this.anyAllowed = anyAllowed;
+	}
+
+	@Override
+	public Either<ValueProblem, String> parse(String text) {
+		InetAddress address = literal(text);
+		if (address == null) {
+			return Either.left(SettingsTexts.notAnAddress(text));
+		}
+		if (address.isMulticastAddress()) {
+			return Either.left(SettingsTexts.multicastAddress(text));
+		}
+		if (address.isAnyLocalAddress() && !this.anyAllowed) {
+			return Either.left(SettingsTexts.anyAddress(text));
+		}
+		return Either.right(text);
+	}
+
+	/**
+	 * Parses an address.
+	 * @param text the text
+	 * @return the address, or {@code null} if the text is none
+	 */
+	static @Nullable InetAddress literal(String text) {
+		try {
+			InetAddress address = InetAddress.ofLiteral(text);
+			// The platform also takes 127.1 and 2130706433, which hide the address meant.
+			boolean shortForm = text.indexOf(':') < 0 && !address.getHostAddress().equals(text);
+			return (shortForm || text.indexOf('%') >= 0 || text.indexOf('[') >= 0) ? null : address;
+		}
+		catch (IllegalArgumentException exception) {
+			return null;
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsDocument.java
@@ -0,0 +1,95 @@
+package org.wigeonmast.settings.internal;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.vavr.control.Either;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.apache.commons.configuration2.ex.ConfigurationRuntimeException;
+import org.apache.commons.configuration2.tree.ImmutableNode;
+import org.wigeonmast.settings.SettingsError;
+
+/**
+ * The sections, keys and texts of an INI file.
+ * <p>
+ * Thread safety: immutable.
+ */
+public final class SettingsDocument {
+
+	private final String file;
+
+	private final List<String> outside;
+
+	private final Map<String, Map<String, List<String>>> sections;
+
+	private SettingsDocument(String file, List<String> outside, Map<String, Map<String, List<String>>> sections) {
+		this.file = file;
+		this.outside = outside;
+		this.sections = sections;
+	}
+
+	/**
+	 * Parses a file.
+	 * @param file the name of the file for errors
+	 * @param bytes the bytes of the file
+	 * @return the document, or every error found
+	 */
+	public static Either<List<SettingsError>, SettingsDocument> parse(String file, byte[] bytes) {
+		try {
+			String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+			INIConfiguration configuration = new INIConfiguration();
+			configuration.read(new StringReader(text));
+			return Either.right(fromTree(file, configuration.getNodeModel().getRootNode()));
+		}
+		catch (CharacterCodingException exception) {
+			return Either.left(List.of(SettingsTexts.notText(file)));
+		}
+		catch (IOException | ConfigurationException | ConfigurationRuntimeException exception) {
+			return Either.left(List.of(SettingsTexts.notIni(file, String.valueOf(exception.getMessage()))));
+		}
+	}
+
+	private static SettingsDocument fromTree(String file, ImmutableNode root) {
+		List<String> outside = new ArrayList<>();
+		Map<String, Map<String, List<String>>> sections = new LinkedHashMap<>();
+		for (ImmutableNode node : root) {
+			if (node.getValue() != null) {
+				outside.add(node.getNodeName());
+				continue;
+			}
+			Map<String, List<String>> keys = sections.computeIfAbsent(node.getNodeName(),
+					(name) -> new LinkedHashMap<>());
+			for (ImmutableNode key : node) {
+				keys.computeIfAbsent(key.getNodeName(), (name) -> new ArrayList<>())
+					.add(String.valueOf(key.getValue()).strip());
+			}
+		}
+		return new SettingsDocument(file, outside, sections);
+	}
+
+	String file() {
+		return this.file;
+	}
+
+	List<String> outside() {
+		return this.outside;
+	}
+
+	Map<String, Map<String, List<String>>> sections() {
+		return Collections.unmodifiableMap(this.sections);
+	}
+
+	List<String> values(SettingsKey<?> key) {
+		return this.sections.getOrDefault(key.section(), Map.of()).getOrDefault(key.name(), List.of());
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/ShareType.java
@@ -0,0 +1,28 @@
+package org.wigeonmast.settings.internal;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.vavr.control.Either;
+
+/**
+ * A share in percent.
+ * <p>
+ * Thread safety: immutable. Invariant: the parsed value is from 0 to 1.
+ */
+final class ShareType implements ValueType<Double> {
+
+	private static final Pattern FORM = Pattern.compile("([0-9]{1,3})\\s*%");
+
+	private static final int WHOLE = 100;
+
+	@Override
+	public Either<ValueProblem, Double> parse(String text) {
+		Matcher matcher = FORM.matcher(text);
+		if (!matcher.matches() || Integer.parseInt(matcher.group(1)) > WHOLE) {
+			return Either.left(SettingsTexts.notAShare(text));
+		}
+		return Either.right(Integer.parseInt(matcher.group(1)) / (double) WHOLE);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/UrlType.java
@@ -0,0 +1,32 @@
+package org.wigeonmast.settings.internal;
+
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.util.Set;
+
+import io.vavr.control.Either;
+
+/**
+ * The base URL of an HTTP server, without query or fragment.
+ * <p>
+ * Thread safety: immutable. Invariant: the parsed URL does not end with a slash.
+ */
+final class UrlType implements ValueType<URI> {
+
+	private static final Set<String> SCHEMES = Set.of("http", "https");
+
+	@Override
+	public Either<ValueProblem, URI> parse(String text) {
+		try {
+			URI uri = new URI(text.endsWith("/") ? text.substring(0, text.length() - 1) : text);
+			boolean complete = uri.getScheme() != null && SCHEMES.contains(uri.getScheme()) && uri.getHost() != null
+					&& uri.getPort() <= 65_535;
+			boolean plain = uri.getQuery() == null && uri.getFragment() == null && uri.getUserInfo() == null;
+			return (complete && plain) ? Either.right(uri) : Either.left(SettingsTexts.notAUrl(text));
+		}
+		catch (URISyntaxException exception) {
+			return Either.left(SettingsTexts.notAUrl(text));
+		}
+	}
+
+}
