--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/ErrorList.java
@@ -0,0 +1,42 @@
+package org.wigeonmast.manifest.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The errors found in a manifest.
+ * <p>
+ * Thread safety: none. Invariant: at most {@link #GREATEST_SIZE} errors are held; further
+ * ones are counted.
+ */
+final class ErrorList {
+
+	/** Bounds the memory that a hostile manifest can take with errors. */
+	static final int GREATEST_SIZE = 1_000;
+
+	private final List<String> errors = new ArrayList<>();
+
+	private int omitted;
+
+	void add(String error) {
+		if (this.errors.size() < GREATEST_SIZE) {
+			this.errors.add(error);
+		}
+		else {
+			this.omitted++;
+		}
+	}
+
+	boolean isEmpty() {
+		return this.errors.isEmpty();
+	}
+
+	List<String> toList() {
+		List<String> list = new ArrayList<>(this.errors);
+		if (this.omitted > 0) {
+			list.add(ManifestTexts.omitted(this.omitted));
+		}
+		return List.copyOf(list);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/IndexParser.java
@@ -0,0 +1,127 @@
+package org.wigeonmast.manifest.internal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.manifest.ManifestIndex;
+import org.wigeonmast.manifest.ManifestPart;
+
+/**
+ * Parses the index of a manifest.
+ * <p>
+ * Thread safety: none; used for one index.
+ */
+public final class IndexParser {
+
+	/** Name of the index in error messages. */
+	private static final String INDEX = "index";
+
+	private static final long MISSING = -1;
+
+	private final ErrorList errors = new ErrorList();
+
+	private long version = MISSING;
+
+	private @Nullable List<ManifestPart> parts;
+
+	/**
+	 * Parses an index.
+	 * @param bytes the bytes
+	 * @return the index, or every error found
+	 */
+	public Either<List<String>, ManifestIndex> parse(byte[] bytes) {
+		if (bytes.length > ManifestBounds.GREATEST_DOCUMENT) {
+			return Either.left(List.of(ManifestTexts.documentTooLarge(INDEX, ManifestBounds.GREATEST_DOCUMENT)));
+		}
+		try (JsonCursor cursor = new JsonCursor(INDEX, bytes, this.errors)) {
+			cursor.start();
+			if (cursor.enterObject()) {
+				read(cursor);
+			}
+			cursor.end();
+		}
+		catch (JsonProcessingException exception) {
+			this.errors.add(ManifestTexts.syntax(INDEX, exception));
+		}
+		catch (IOException exception) {
+			this.errors.add(ManifestTexts.inDocument(INDEX, "", String.valueOf(exception.getMessage())));
+		}
+		List<ManifestPart> found = (this.parts != null) ? this.parts : List.of();
+		checkParts(found);
+		return this.errors.isEmpty() ? Either.right(new ManifestIndex(this.version, Hashes.sha256(bytes), found))
+				: Either.left(this.errors.toList());
+	}
+
+	private void read(JsonCursor cursor) throws IOException {
+		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
+			switch (field) {
+				case "version" -> this.version = cursor.integer(1, Long.MAX_VALUE);
+				case "parts" -> this.parts = readParts(cursor);
+				default -> cursor.unknownField(field, "version and parts");
+			}
+		}
+		if (this.version == MISSING) {
+			cursor.error(ManifestTexts.missingField("version"));
+		}
+		if (this.parts == null) {
+			cursor.error(ManifestTexts.missingField("parts"));
+		}
+	}
+
+	private static List<ManifestPart> readParts(JsonCursor cursor) throws IOException {
+		List<ManifestPart> parts = new ArrayList<>();
+		if (cursor.enterArray()) {
+			while (cursor.nextElement()) {
+				if (cursor.enterObject()) {
+					parts.add(readPart(cursor));
+				}
+			}
+		}
+		return parts;
+	}
+
+	private static ManifestPart readPart(JsonCursor cursor) throws IOException {
+		String name = null;
+		String hash = null;
+		long size = MISSING;
+		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
+			switch (field) {
+				case "name" -> name = cursor.text(TextForms.NAME, ManifestTexts.NAME_WANTED);
+				case "sha256" -> hash = cursor.text(TextForms.HASH, ManifestTexts.HASH_WANTED);
+				case "size" -> size = cursor.integer(1, ManifestBounds.GREATEST_DOCUMENT);
+				default -> cursor.unknownField(field, "name, sha256 and size");
+			}
+		}
+		if (name == null) {
+			cursor.error(ManifestTexts.missingField("name"));
+		}
+		if (hash == null) {
+			cursor.error(ManifestTexts.missingField("sha256"));
+		}
+		if (size == MISSING) {
+			cursor.error(ManifestTexts.missingField("size"));
+		}
+		return new ManifestPart((name != null) ? name : "", (hash != null) ? hash : "", size);
+	}
+
+	private void checkParts(List<ManifestPart> found) {
+		Set<String> names = new HashSet<>();
+		long total = 0;
+		for (ManifestPart part : found) {
+			if (!part.name().isEmpty() && !names.add(part.name())) {
+				this.errors.add(ManifestTexts.duplicate("part", part.name(), INDEX, INDEX));
+			}
+			total += part.size();
+		}
+		if (total > ManifestBounds.GREATEST_TOTAL) {
+			this.errors.add(ManifestTexts.totalTooLarge(total, ManifestBounds.GREATEST_TOTAL));
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/JsonCursor.java
@@ -0,0 +1,190 @@
+package org.wigeonmast.manifest.internal;
+
+import java.io.IOException;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads one JSON document value by value and collects what is wrong with the values.
+ * <p>
+ * Thread safety: none. Invariants: a wrong value is skipped as a whole, so reading goes
+ * on behind it; only a syntax error ends the document. The memory in use does not depend
+ * on the document.
+ */
+final class JsonCursor implements AutoCloseable {
+
+	private static final int GREATEST_NESTING = 8;
+
+	private static final int LONGEST_NUMBER = 40;
+
+	private static final int LONGEST_TEXT = 1_024;
+
+	private static final int LONGEST_FIELD_NAME = 64;
+
+	private static final JsonFactory FACTORY = JsonFactory.builder()
+		.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+		.disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
+		.disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+		.streamReadConstraints(StreamReadConstraints.builder()
+			.maxNestingDepth(GREATEST_NESTING)
+			.maxNumberLength(LONGEST_NUMBER)
+			.maxStringLength(LONGEST_TEXT)
+			.maxNameLength(LONGEST_FIELD_NAME)
+			.build())
+		.build();
+
+	private final String document;
+
+	private final ErrorList errors;
+
+	private final JsonParser parser;
+
+	JsonCursor(String document, byte[] bytes, ErrorList errors) throws IOException {
+		this.document = document;
+		this.errors = errors;
+		this.parser = FACTORY.createParser(bytes);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.parser.close();
+	}
+
+	/**
+	 * Moves to the only value of the document.
+	 */
+	void start() throws IOException {
+		if (this.parser.nextToken() == null) {
+			error(ManifestTexts.EMPTY_DOCUMENT);
+		}
+	}
+
+	/**
+	 * Checks that nothing follows the value of the document.
+	 */
+	void end() throws IOException {
+		if (this.parser.nextToken() != null) {
+			error(ManifestTexts.TRAILING_TEXT);
+		}
+	}
+
+	/**
+	 * Enters the object at which the cursor stands.
+	 * @return whether there is an object; otherwise the value was skipped
+	 */
+	boolean enterObject() throws IOException {
+		return enter(JsonToken.START_OBJECT, ManifestTexts.OBJECT_WANTED);
+	}
+
+	/**
+	 * Moves to the next field of an object.
+	 * @return the field's name, or {@code null} at the end of the object
+	 */
+	@Nullable String nextField() throws IOException {
+		String name = this.parser.nextFieldName();
+		if (name != null) {
+			this.parser.nextToken();
+		}
+		return name;
+	}
+
+	/**
+	 * Enters the array at which the cursor stands.
+	 * @return whether there is an array; otherwise the value was skipped
+	 */
+	boolean enterArray() throws IOException {
+		return enter(JsonToken.START_ARRAY, ManifestTexts.ARRAY_WANTED);
+	}
+
+	/**
+	 * Moves to the next element of an array.
+	 * @return whether there is one
+	 */
+	boolean nextElement() throws IOException {
+		return this.parser.nextToken() != JsonToken.END_ARRAY;
+	}
+
+	/**
+	 * Reads a text.
+	 * @param form the form that it must have
+	 * @param wanted what the form demands
+	 * @return the text, or an empty one after an error
+	 */
+	String text(Pattern form, String wanted) throws IOException {
+		if (this.parser.currentToken() != JsonToken.VALUE_STRING) {
+			wrongValue(wanted);
+			return "";
+		}
+		String text = this.parser.getText();
+		if (!form.matcher(text).matches()) {
+			error(ManifestTexts.wrongText(text, wanted));
+			return "";
+		}
+		return text;
+	}
+
+	long integer(long least, long greatest) throws IOException {
+		String wanted = ManifestTexts.integerWanted(least, greatest);
+		if (this.parser.currentToken() != JsonToken.VALUE_NUMBER_INT) {
+			wrongValue(wanted);
+			return least;
+		}
+		boolean fits = this.parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER;
+		if (!fits || this.parser.getLongValue() < least || this.parser.getLongValue() > greatest) {
+			error(ManifestTexts.wrongText(this.parser.getText(), wanted));
+			return least;
+		}
+		return this.parser.getLongValue();
+	}
+
+	double share() throws IOException {
+		if (!this.parser.currentToken().isNumeric()) {
+			wrongValue(ManifestTexts.SHARE_WANTED);
+			return 0;
+		}
+		double value = this.parser.getDoubleValue();
+		if (!(value >= 0 && value <= 1)) {
+			error(ManifestTexts.wrongText(this.parser.getText(), ManifestTexts.SHARE_WANTED));
+			return 0;
+		}
+		return value;
+	}
+
+	boolean bool() throws IOException {
+		if (!this.parser.currentToken().isBoolean()) {
+			wrongValue(ManifestTexts.BOOLEAN_WANTED);
+			return false;
+		}
+		return this.parser.getBooleanValue();
+	}
+
+	void unknownField(String name, String known) throws IOException {
+		error(ManifestTexts.unknownField(name, known));
+		this.parser.skipChildren();
+	}
+
+	void error(String problem) {
+		String pointer = this.parser.getParsingContext().pathAsPointer().toString();
+		this.errors.add(ManifestTexts.inDocument(this.document, pointer, problem));
+	}
+
+	private boolean enter(JsonToken token, String wanted) throws IOException {
+		if (this.parser.currentToken() == token) {
+			return true;
+		}
+		wrongValue(wanted);
+		return false;
+	}
+
+	private void wrongValue(String wanted) throws IOException {
+		error(ManifestTexts.wrongKind(wanted));
+		this.parser.skipChildren();
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * JSON parts, whole-document checks and lookup tables of a manifest.
+ */
+@NullMarked
+package org.wigeonmast.manifest.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/JsonManifestCheckerTests.java
@@ -0,0 +1,78 @@
+package org.wigeonmast.manifest;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+import com.google.common.truth.Truth;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.core.CallerId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.manifest.internal.Hashes;
+
+class JsonManifestCheckerTests {
+
+	static final String PART = """
+			{
+			  "domains": [{"name": "addis/a", "daemons": 9}, {"name": "addis/b", "daemons": 0}],
+			  "services": [
+			    {"name": "rota-board", "floor": 1, "longShare": 0.5, "servers": [
+			      {"id": "rb-1", "address": "10.0.0.1:8080", "domain": "addis/a", "slots": 2, "connections": 330},
+			      {"id": "rb-2", "address": "10.0.0.2:8080", "domain": "addis/b", "slots": 2, "connections": 330}
+			    ]}
+			  ],
+			  "routes": [
+			    {"path": "/rota", "service": "rota-board", "class": "short", "idempotent": true,
+			     "timeoutMilliseconds": 2000},
+			    {"method": "POST", "path": "/rota/print", "service": "rota-board", "class": "long",
+			     "idempotent": false, "timeoutMilliseconds": 60000}
+			  ],
+			  "callers": [{"id": "kitchen-7", "requestsPerSecond": 50}]
+			}
+			""";
+
+	private final JsonManifestChecker checker = new JsonManifestChecker();
+
+	Either<List<String>, Manifest> check(String part) {
+		byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+		String hash = Hashes.sha256(bytes);
+		String index = "{\"version\": 3, \"parts\": [{\"name\": \"all\", \"sha256\": \"" + hash + "\", \"size\": "
+				+ bytes.length + "}]}";
+		return this.checker.readIndex(index.getBytes(StandardCharsets.UTF_8))
+			.flatMap((read) -> this.checker.check(read, Map.of(hash, bytes)));
+	}
+
+	private static @Nullable String path(Manifest manifest, String method, String path) {
+		Route route = manifest.route(method, path);
+		return (route != null) ? route.pathPrefix() : null;
+	}
+
+	@Test
+	void completeManifestIsRead() {
+		Manifest manifest = check(PART).getOrElseThrow((errors) -> new AssertionError(errors.toString()));
+		Truth.assertThat(manifest.version()).isEqualTo(3);
+		Service service = manifest.service(new ServiceName("rota-board"));
+		Truth.assertThat(service.servers()).hasSize(2);
+		Truth.assertThat(service.keyLifetime()).isEqualTo(Service.DEFAULT_KEY_LIFETIME);
+		Truth.assertThat(manifest.daemons()).containsExactly(new FailureDomain(new Region("addis"), "a"), 9);
+		Truth.assertThat(manifest.callerLimit(new CallerId("kitchen-7"))).isEqualTo(50);
+		Truth.assertThat(manifest.callerLimit(new CallerId("kitchen-8"))).isEqualTo(0);
+	}
+
+	/** Guards against prefixes that match in the middle of a segment. */
+	@Test
+	void longestPrefixOfWholeSegmentsMatches() {
+		Manifest manifest = check(PART).get();
+		Truth.assertThat(path(manifest, "GET", "/rota/print")).isEqualTo("/rota");
+		Truth.assertThat(path(manifest, "POST", "/rota/print")).isEqualTo("/rota/print");
+		Truth.assertThat(path(manifest, "POST", "/rota/print/7")).isEqualTo("/rota/print");
+		Truth.assertThat(path(manifest, "POST", "/rota/printer")).isEqualTo("/rota");
+		Truth.assertThat(path(manifest, "GET", "/rotas")).isNull();
+		Truth.assertThat(path(manifest, "GET", "/")).isNull();
+	}
+
+}
