--- /dev/null
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/LinkRejectedException.java
@@ -0,0 +1,34 @@
+package org.wigeonmast.wire;
+
+import org.wigeonmast.core.Step;
+import org.wigeonmast.core.WigeonmastException;
+
+/**
+ * Thrown when a peer fails authentication or sends a frame that is not valid.
+ * <p>
+ * Thread safety: as {@link Exception}.
+ */
+public final class LinkRejectedException extends WigeonmastException {
+
+	private final boolean authentication;
+
+	/**
+	 * Creates an exception.
+	 * @param peer the peer
+	 * @param authentication whether authentication failed
+	 * @param message what is wrong
+	 */
+	public LinkRejectedException(String peer, boolean authentication, String message) {
+		super(Step.LINK, peer, message, null);
+		this.authentication = authentication;
+	}
+
+	/**
+	 * Returns whether authentication failed.
+	 * @return {@code false} for a malformed frame
+	 */
+	public boolean isAuthentication() {
+		return this.authentication;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/LinkSettings.java
@@ -0,0 +1,16 @@
+package org.wigeonmast.wire;
+
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.HostAddress;
+
+/**
+ * Settings of the links of one daemon.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param self the identity of the daemon
+ * @param address where it accepts links
+ * @param key the key that all daemons of the fleet share
+ */
+public record LinkSettings(DaemonId self, HostAddress address, SharedKey key) {
+}
--- /dev/null
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/PeerLinks.java
@@ -0,0 +1,50 @@
+package org.wigeonmast.wire;
+
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.wire.internal.NettyPeerLinks;
+
+/**
+ * The links between this daemon and its peers.
+ * <p>
+ * Thread safety: usable from any thread. Invariants: a message arrives at most once and
+ * unchanged, or is lost; messages of one sender that travel on one connection keep their
+ * order; only holders of the shared key are heard.
+ */
+public interface PeerLinks extends AutoCloseable {
+
+	/**
+	 * Opens the listener and returns the links.
+	 * @param settings the settings
+	 * @param listener takes the messages that arrive
+	 * @return the open links
+	 * @throws LinkListenerException if the address cannot be bound
+	 */
+	static PeerLinks open(LinkSettings settings, MessageListener listener) throws LinkListenerException {
+		return NettyPeerLinks.open(settings, listener);
+	}
+
+	/**
+	 * Returns the address on which links are accepted, with the real port when the
+	 * settings gave port 0.
+	 * @return the address
+	 */
+	HostAddress address();
+
+	/**
+	 * Sends a message; it is lost without an error when the peer cannot be reached.
+	 * @param peer where the peer accepts links
+	 * @param slice the slice
+	 * @param content the encoded message, at most 1,050,000 bytes
+	 */
+	void send(HostAddress peer, Slice slice, byte[] content);
+
+	/**
+	 * Returns the bytes and messages sent and received since the start.
+	 * @return the counts
+	 */
+	LinkCounts counts();
+
+	@Override
+	void close();
+
+}
--- /dev/null
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/AcceptedLinkHandler.java
@@ -0,0 +1,100 @@
+package org.wigeonmast.wire.internal;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.wire.LinkRejectedException;
+import org.wigeonmast.wire.LinkSettings;
+import org.wigeonmast.wire.MessageListener;
+import org.wigeonmast.wire.Slice;
+import org.wigeonmast.wire.WireEvent;
+import org.wigeonmast.wire.internal.protocol.WireProtocol.Hello;
+import org.wigeonmast.wire.internal.protocol.WireProtocol.Payload;
+import org.wigeonmast.wire.internal.protocol.WireProtocol.Proof;
+
+/**
+ * The accepting end of a link, which receives messages and answers keep-alive frames.
+ * <p>
+ * Thread safety: used by one event loop.
+ */
+final class AcceptedLinkHandler extends LinkHandler {
+
+	private final MessageListener listener;
+
+	private @Nullable DaemonId peer;
+
+	private @Nullable LinkAuthenticator receiving;
+
+	private @Nullable LinkAuthenticator sending;
+
+	private boolean authenticated;
+
+	AcceptedLinkHandler(LinkSettings settings, MessageListener listener) {
+		super(settings);
+		this.listener = listener;
+	}
+
+	@Override
+	void receive(ChannelHandlerContext context, byte[] frame)
+			throws InvalidProtocolBufferException, LinkRejectedException {
+		LinkAuthenticator authenticator = this.receiving;
+		if (authenticator == null) {
+			greet(context, Hello.parseFrom(frame));
+		}
+		else if (this.authenticated) {
+			deliver(context, verified(context, authenticator, frame));
+		}
+		else {
+			authenticate(context, authenticator, Proof.parseFrom(frame));
+		}
+	}
+
+	private void greet(ChannelHandlerContext context, Hello connector) {
+		Hello acceptor = hello().build();
+		LinkAuthenticator authenticator = new LinkAuthenticator(settings().key(), connector, acceptor);
+		this.receiving = authenticator;
+		this.sending = new LinkAuthenticator(settings().key(), connector, acceptor);
+		this.peer = new DaemonId(connector.getDaemonName(), connector.getIncarnation());
+		Hello proven = acceptor.toBuilder().setProof(ByteString.copyFrom(authenticator.acceptorProof())).build();
+		context.writeAndFlush(LinkFrames.encode(proven));
+	}
+
+	private void authenticate(ChannelHandlerContext context, LinkAuthenticator authenticator, Proof proof)
+			throws LinkRejectedException {
+		if (!LinkAuthenticator.matches(authenticator.connectorProof(), proof.getProof().toByteArray())) {
+			throw new LinkRejectedException(peer(context), true, "the proof does not match the shared key");
+		}
+		this.authenticated = true;
+		LinkFrames.allowLargeFrames(context.pipeline());
+	}
+
+	private void deliver(ChannelHandlerContext context, Payload payload) {
+		LinkAuthenticator authenticator = this.sending;
+		DaemonId from = this.peer;
+		if (authenticator == null || from == null) {
+			return;
+		}
+		if (payload.getSlice() == KEEP_ALIVE) {
+			context.writeAndFlush(LinkFrames.encode(payload(authenticator, KEEP_ALIVE, new byte[0])));
+			return;
+		}
+		Slice slice = Slice.ofNumber(payload.getSlice());
+		if (slice == null) {
+			log().log(WireEvent.SLICE_UNKNOWN, payload.getSlice(), from);
+			return;
+		}
+		this.listener.received(from, slice, payload.getContent().toByteArray());
+	}
+
+	@Override
+	void idle(ChannelHandlerContext context, IdleStateEvent event) {
+		if (event.state() == IdleState.READER_IDLE) {
+			context.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/LinkFrames.java
@@ -0,0 +1,50 @@
+package org.wigeonmast.wire.internal;
+
+import com.google.protobuf.MessageLite;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+
+/**
+ * Framing of links: a length of four bytes before each message.
+ * <p>
+ * Thread safety: stateless.
+ */
+final class LinkFrames {
+
+	/** Greatest size of a frame in bytes before the peer is authenticated. */
+	static final int HANDSHAKE_LIMIT = 2048;
+
+	/** Greatest size of a frame in bytes: a part of one megabyte and its envelope. */
+	static final int FRAME_LIMIT = 1_100_000;
+
+	private static final String DECODER = "frameDecoder";
+
+	private LinkFrames() {
+	}
+
+	static void addHandshakeCodecs(ChannelPipeline pipeline) {
+		pipeline.addLast(DECODER, decoder(HANDSHAKE_LIMIT));
+		pipeline.addLast(new LengthFieldPrepender(Integer.BYTES));
+	}
+
+	static void allowLargeFrames(ChannelPipeline pipeline) {
+		pipeline.replace(DECODER, DECODER, decoder(FRAME_LIMIT));
+	}
+
+	static ByteBuf encode(MessageLite message) {
+		return Unpooled.wrappedBuffer(message.toByteArray());
+	}
+
+	static byte[] bytes(ByteBuf frame) {
+		return ByteBufUtil.getBytes(frame);
+	}
+
+	private static LengthFieldBasedFrameDecoder decoder(int limit) {
+		return new LengthFieldBasedFrameDecoder(limit, 0, Integer.BYTES, 0, Integer.BYTES);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/LinkHandler.java
@@ -0,0 +1,129 @@
+package org.wigeonmast.wire.internal;
+
+import java.net.SocketAddress;
+import java.security.SecureRandom;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.wire.LinkRejectedException;
+import org.wigeonmast.wire.LinkSettings;
+import org.wigeonmast.wire.WireEvent;
+import org.wigeonmast.wire.internal.protocol.WireProtocol.Hello;
+import org.wigeonmast.wire.internal.protocol.WireProtocol.Payload;
+
+/**
+ * What both ends of a link have in common: the handshake's parts, errors and silence.
+ * <p>
+ * Thread safety: used by one event loop. Invariant: nothing but the handshake is read
+ * before the peer has proved that it holds the key.
+ */
+abstract class LinkHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+	/**
+	 * Version of the protocol; a peer of another version is accepted when the handshake
+	 * matches.
+	 */
+	static final int PROTOCOL_VERSION = 1;
+
+	/** Slice number of keep-alive frames, which carry no message. */
+	static final int KEEP_ALIVE = 0;
+
+	private static final int NONCE_LENGTH = 16;
+
+	private static final SecureRandom NONCES = new SecureRandom();
+
+	private final EventLog log = new EventLog(LinkHandler.class);
+
+	private final LinkSettings settings;
+
+	LinkHandler(LinkSettings settings) {
+		this.settings = settings;
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws LinkRejectedException {
+		try {
+			receive(context, LinkFrames.bytes(frame));
+		}
+		catch (InvalidProtocolBufferException exception) {
+			throw new LinkRejectedException(peer(context), false, "the frame is no valid message");
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		String peer = peer(context);
+		if (cause instanceof LinkRejectedException rejected && rejected.isAuthentication()) {
+			this.log.log(WireEvent.AUTHENTICATION_FAILED, peer, cause.getMessage());
+		}
+		else if (cause instanceof LinkRejectedException || cause instanceof TooLongFrameException) {
+			this.log.log(WireEvent.FRAME_REJECTED, peer, cause.getMessage());
+		}
+		context.close();
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		if (event instanceof IdleStateEvent idle) {
+			idle(context, idle);
+		}
+		else {
+			super.userEventTriggered(context, event);
+		}
+	}
+
+	abstract void receive(ChannelHandlerContext context, byte[] frame)
+			throws InvalidProtocolBufferException, LinkRejectedException;
+
+	abstract void idle(ChannelHandlerContext context, IdleStateEvent event);
+
+	LinkSettings settings() {
+		return this.settings;
+	}
+
+	EventLog log() {
+		return this.log;
+	}
+
+	Hello.Builder hello() {
+		byte[] nonce = new byte[NONCE_LENGTH];
+		NONCES.nextBytes(nonce);
+		return Hello.newBuilder()
+			.setProtocolVersion(PROTOCOL_VERSION)
+			.setDaemonName(this.settings.self().name())
+			.setIncarnation(this.settings.self().incarnation())
+			.setPeerAddress(this.settings.address().address())
+			.setPeerPort(this.settings.address().port())
+			.setNonce(ByteString.copyFrom(nonce));
+	}
+
+	static Payload payload(LinkAuthenticator authenticator, int slice, byte[] content) {
+		return Payload.newBuilder()
+			.setSlice(slice)
+			.setContent(ByteString.copyFrom(content))
+			.setAuthentication(ByteString.copyFrom(authenticator.nextFrame(slice, content)))
+			.build();
+	}
+
+	static Payload verified(ChannelHandlerContext context, LinkAuthenticator authenticator, byte[] frame)
+			throws InvalidProtocolBufferException, LinkRejectedException {
+		Payload payload = Payload.parseFrom(frame);
+		byte[] expected = authenticator.nextFrame(payload.getSlice(), payload.getContent().toByteArray());
+		if (!LinkAuthenticator.matches(expected, payload.getAuthentication().toByteArray())) {
+			throw new LinkRejectedException(peer(context), true, "a frame does not match its authentication");
+		}
+		return payload;
+	}
+
+	static String peer(ChannelHandlerContext context) {
+		SocketAddress address = context.channel().remoteAddress();
+		return (address != null) ? address.toString() : "unknown";
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/NettyPeerLinks.java
@@ -0,0 +1,142 @@
+package org.wigeonmast.wire.internal;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.wire.LinkCounts;
+import org.wigeonmast.wire.LinkListenerException;
+import org.wigeonmast.wire.LinkSettings;
+import org.wigeonmast.wire.MessageListener;
+import org.wigeonmast.wire.PeerLinks;
+import org.wigeonmast.wire.Slice;
+import org.wigeonmast.wire.WireEvent;
+
+/**
+ * Links over TCP with one event loop. Each daemon sends on the connections that it opened
+ * itself, so a connection that is cut in one direction concerns one direction of messages
+ * only.
+ * <p>
+ * Thread safety: usable from any thread.
+ */
+public final class NettyPeerLinks implements PeerLinks {
+
+	private static final int EVENT_LOOPS = 1;
+
+	private static final long CLOSE_TIMEOUT_MILLISECONDS = 500;
+
+	private final LinkSettings settings;
+
+	private final MessageListener listener;
+
+	private final EventLoopGroup eventLoops = new NioEventLoopGroup(EVENT_LOOPS,
+			new DefaultThreadFactory("links", true));
+
+	private final ConcurrentMap<HostAddress, OutgoingLink> links = new ConcurrentHashMap<>();
+
+	private final LongAdder messagesSent = new LongAdder();
+
+	private final LongAdder bytesSent = new LongAdder();
+
+	private final LongAdder messagesReceived = new LongAdder();
+
+	private final LongAdder bytesReceived = new LongAdder();
+
+	private final Channel server;
+
+	private NettyPeerLinks(LinkSettings settings, MessageListener listener) throws LinkListenerException {
+		this.settings = settings;
+		this.listener = listener;
+		this.server = bind();
+	}
+
+	/**
+	 * Opens the listener.
+	 * @param settings the settings
+	 * @param listener takes the messages that arrive
+	 * @return the open links
+	 * @throws LinkListenerException if the address cannot be bound
+	 */
+	public static NettyPeerLinks open(LinkSettings settings, MessageListener listener) throws LinkListenerException {
+		NettyPeerLinks links = new NettyPeerLinks(settings, listener);
+		new EventLog(NettyPeerLinks.class).log(WireEvent.LISTENING, links.address());
+		return links;
+	}
+
+	@Override
+	public HostAddress address() {
+		InetSocketAddress bound = (InetSocketAddress) this.server.localAddress();
+		return new HostAddress(this.settings.address().address(), bound.getPort());
+	}
+
+	@Override
+	public void send(HostAddress peer, Slice slice, byte[] content) {
+		this.messagesSent.increment();
+		this.bytesSent.add(content.length);
+		this.links
+			.computeIfAbsent(peer,
+					(address) -> new OutgoingLink(this.settings, address, this.eventLoops.next(),
+							(unused) -> this.links.remove(address, unused)))
+			.send(slice, content);
+	}
+
+	@Override
+	public LinkCounts counts() {
+		return new LinkCounts(this.messagesSent.sum(), this.bytesSent.sum(), this.messagesReceived.sum(),
+				this.bytesReceived.sum());
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+		this.links.values().forEach(OutgoingLink::close);
+		this.eventLoops.shutdownGracefully(0, CLOSE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+	}
+
+	private Channel bind() throws LinkListenerException {
+		HostAddress address = this.settings.address();
+		ChannelFuture future = new ServerBootstrap().group(this.eventLoops)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new AcceptedLinkInitializer())
+			.bind(address.address(), address.port())
+			.awaitUninterruptibly();
+		if (!future.isSuccess()) {
+			this.eventLoops.shutdownGracefully(0, CLOSE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+			throw new LinkListenerException(address.toString(), future.cause());
+		}
+		return future.channel();
+	}
+
+	private final class AcceptedLinkInitializer extends ChannelInitializer<Channel> {
+
+		@Override
+		protected void initChannel(Channel channel) {
+			channel.pipeline()
+				.addLast(new IdleStateHandler(OutgoingLink.SILENCE_MILLISECONDS, 0, 0, TimeUnit.MILLISECONDS));
+			LinkFrames.addHandshakeCodecs(channel.pipeline());
+			channel.pipeline().addLast(new AcceptedLinkHandler(NettyPeerLinks.this.settings, (from, slice, content) -> {
+				NettyPeerLinks.this.messagesReceived.increment();
+				NettyPeerLinks.this.bytesReceived.add(content.length);
+				NettyPeerLinks.this.listener.received(from, slice, content);
+			}));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-wire/src/test/java/org/wigeonmast/wire/internal/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the implementation of links.
+ */
+@NullMarked
+package org.wigeonmast.wire.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wigeonmast-wire/src/test/java/org/wigeonmast/wire/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the links between daemons.
+ */
+@NullMarked
+package org.wigeonmast.wire;
+
+import org.jspecify.annotations.NullMarked;
