--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/DaemonEvent.java
@@ -0,0 +1,83 @@
+package org.wigeonmast.daemon;
+
+import org.apache.logging.log4j.Level;
+import org.wigeonmast.core.EventDefinition;
+
+/**
+ * Log events of the daemon process.
+ * <p>
+ * Thread safety: immutable.
+ */
+public enum DaemonEvent implements EventDefinition {
+
+	/** The daemon started. */
+	STARTED(1000, Level.INFO, "daemon {} started: callers {}, links {}, operators {}", "None."),
+
+	/** The daemon became ready. */
+	READY(1001, Level.INFO, "daemon is ready with manifest version {}", "None."),
+
+	/** The daemon is not ready any more. */
+	NOT_READY(1002, Level.WARN, "daemon is not ready: {}",
+			"Read the reason; check the links to other daemons and the configuration store."),
+
+	/** A planned stop began. */
+	STOPPING(1003, Level.INFO, "daemon is stopping: readiness fails, {} requests are in flight", "None."),
+
+	/** A planned stop ended. */
+	STOPPED(1004, Level.INFO, "daemon stopped; no request is in flight", "None."),
+
+	/** A control task failed. */
+	CONTROL_TASK_FAILED(1005, Level.ERROR, "a control task failed: {}", "Report this as a defect with the log."),
+
+	/** A control task came after the stop. */
+	CONTROL_TASK_REJECTED(1006, Level.DEBUG, "a control task was ignored because the daemon is stopped", "None."),
+
+	/** The process paused. */
+	PAUSED(1007, Level.WARN, "the process was paused for {} ms", "Check the host for memory or processor shortage."),
+
+	/** A message from a peer could not be decoded. */
+	MESSAGE_REJECTED(1008, Level.WARN, "message of slice {} from {} was rejected: {}",
+			"Check that the peer runs a supported release."),
+
+	/** The daemon could not start. */
+	START_FAILED(1009, Level.FATAL, "daemon could not start: {}", "Correct what the message names and start again."),
+
+	/** A peer's address is not known. */
+	PEER_UNKNOWN(1010, Level.DEBUG, "message for {} was dropped because its address is not known", "None.");
+
+	private final int number;
+
+	private final Level level;
+
+	private final String text;
+
+	private final String advice;
+
+	DaemonEvent(int number, Level level, String text, String advice) {
+		this.number = number;
+		this.level = level;
+		this.text = text;
+		this.advice = advice;
+	}
+
+	@Override
+	public int number() {
+		return this.number;
+	}
+
+	@Override
+	public Level level() {
+		return this.level;
+	}
+
+	@Override
+	public String text() {
+		return this.text;
+	}
+
+	@Override
+	public String advice() {
+		return this.advice;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
@@ -0,0 +1,90 @@
+package org.wigeonmast.daemon.internal;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+import org.wigeonmast.core.Component;
+
+/**
+ * Feeds one component with messages and timers and carries out its effects.
+ * <p>
+ * Thread safety: confined to the control thread. Invariant: while the component has a
+ * timer, a tick is scheduled no later than that timer.
+ *
+ * @param <M> the component's messages
+ * @param <E> the component's effects
+ */
+public final class ComponentDriver<M, E> {
+
+	private final ControlThread control;
+
+	private final Component<M, E> component;
+
+	private final Consumer<E> effects;
+
+	private long scheduledTick = Component.NO_TIMER;
+
+	private boolean stopped;
+
+	/**
+	 * Creates a driver.
+	 * @param control the control thread
+	 * @param component the component
+	 * @param effects carries out one effect
+	 */
+	public ComponentDriver(ControlThread control, Component<M, E> component, Consumer<E> effects) {
+		this.control = control;
+		this.component = component;
+		this.effects = effects;
+	}
+
+	/** Schedules the first tick. */
+	public void start() {
+		scheduleTick();
+	}
+
+	/** Stops timers; later messages are ignored. */
+	public void stop() {
+		this.stopped = true;
+	}
+
+	/**
+	 * Gives the component a message.
+	 * @param message the message
+	 */
+	public void handle(M message) {
+		if (!this.stopped) {
+			carryOut(this.component.handle(this.control.clock().milliseconds(), message));
+		}
+	}
+
+	private void tick() {
+		this.scheduledTick = Component.NO_TIMER;
+		if (!this.stopped) {
+			carryOut(this.component.tick(this.control.clock().milliseconds()));
+		}
+	}
+
+	private void carryOut(List<E> list) {
+		try {
+			list.forEach(this.effects);
+		}
+		finally {
+			scheduleTick();
+		}
+	}
+
+	private void scheduleTick() {
+		long next = this.component.nextTick();
+		if (next < this.scheduledTick) {
+			this.scheduledTick = next;
+			long delay = Math.max(0, next - this.control.clock().milliseconds());
+			this.control.schedule(delay, () -> {
+				if (this.scheduledTick == next) {
+					tick();
+				}
+			});
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
@@ -0,0 +1,91 @@
+package org.wigeonmast.daemon.internal;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.MillisecondClock;
+import org.wigeonmast.daemon.DaemonEvent;
+
+/**
+ * The one thread that owns all control state of a daemon.
+ * <p>
+ * Thread safety: {@link #execute} and {@link #schedule} can be called from any thread;
+ * all given tasks run one after the other on the control thread. Invariant: a task that
+ * throws is logged and does not stop later tasks.
+ */
+public final class ControlThread implements Executor, AutoCloseable {
+
+	private static final long CLOSE_TIMEOUT_MILLISECONDS = 1000;
+
+	private final EventLog log = new EventLog(ControlThread.class);
+
+	private final MillisecondClock clock;
+
+	private final ScheduledThreadPoolExecutor executor;
+
+	/**
+	 * Creates the thread.
+	 * @param clock the clock
+	 */
+	public ControlThread(MillisecondClock clock) {
+		this.clock = clock;
+		this.executor = new ScheduledThreadPoolExecutor(1, (task) -> {
+			Thread thread = new Thread(task, "control");
+			thread.setDaemon(true);
+			return thread;
+		});
+		this.executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+		this.executor.setRemoveOnCancelPolicy(true);
+	}
+
+	/**
+	 * Returns the clock of the control thread.
+	 * @return the clock
+	 */
+	public MillisecondClock clock() {
+		return this.clock;
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		schedule(0, task);
+	}
+
+	/**
+	 * Runs a task later.
+	 * @param delay the delay in milliseconds
+	 * @param task the task
+	 */
+	public void schedule(long delay, Runnable task) {
+		try {
+			this.executor.schedule(() -> run(task), delay, TimeUnit.MILLISECONDS);
+		}
+		catch (RejectedExecutionException exception) {
+			this.log.log(DaemonEvent.CONTROL_TASK_REJECTED);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.executor.shutdown();
+		try {
+			this.executor.awaitTermination(CLOSE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException exception) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void run(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException exception) {
+			this.log.log(DaemonEvent.CONTROL_TASK_FAILED, exception);
+		}
+	}
+
+}
