--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/HostListParser.java
@@ -0,0 +1,93 @@
+package org.wigeonmast.manifest.internal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.manifest.store.PlatformHost;
+
+/**
+ * Parses the platform's list of hosts.
+ * <p>
+ * Thread safety: none; used for one list.
+ */
+public final class HostListParser {
+
+	private static final String HOSTS = "hosts";
+
+	private static final Pattern ROLE = Pattern.compile("entry|backend");
+
+	private static final Pattern STATE = Pattern.compile("live|leaving");
+
+	private final ErrorList errors = new ErrorList();
+
+	private final List<PlatformHost> hosts = new ArrayList<>();
+
+	/**
+	 * Parses a list.
+	 * @param bytes the bytes
+	 * @return the hosts, or every error found
+	 */
+	public Either<List<String>, List<PlatformHost>> parse(byte[] bytes) {
+		try (JsonCursor cursor = new JsonCursor(HOSTS, bytes, this.errors)) {
+			cursor.start();
+			if (cursor.enterObject()) {
+				read(cursor);
+			}
+			cursor.end();
+		}
+		catch (JsonProcessingException exception) {
+			this.errors.add(ManifestTexts.syntax(HOSTS, exception));
+		}
+		catch (IOException exception) {
+			this.errors.add(ManifestTexts.inDocument(HOSTS, "", String.valueOf(exception.getMessage())));
+		}
+		return this.errors.isEmpty() ? Either.right(List.copyOf(this.hosts)) : Either.left(this.errors.toList());
+	}
+
+	private void read(JsonCursor cursor) throws IOException {
+		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
+			if (!field.equals(HOSTS)) {
+				cursor.unknownField(field, HOSTS);
+			}
+			else if (cursor.enterArray()) {
+				while (cursor.nextElement()) {
+					if (cursor.enterObject()) {
+						readHost(cursor);
+					}
+				}
+			}
+		}
+	}
+
+	private void readHost(JsonCursor cursor) throws IOException {
+		String role = null;
+		HostAddress address = null;
+		String state = null;
+		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
+			switch (field) {
+				case "role" -> role = cursor.text(ROLE, ManifestTexts.ROLE_WANTED);
+				case "address" -> address = readAddress(cursor);
+				case "state" -> state = cursor.text(STATE, ManifestTexts.STATE_WANTED);
+				default -> cursor.unknownField(field, "role, address and state");
+			}
+		}
+		if (role == null || address == null || state == null) {
+			cursor.error(ManifestTexts.HOST_FIELDS_WANTED);
+			return;
+		}
+		this.hosts.add(new PlatformHost(role.equals("entry") ? PlatformHost.Role.ENTRY : PlatformHost.Role.BACKEND,
+				address, state.equals("leaving")));
+	}
+
+	private static @Nullable HostAddress readAddress(JsonCursor cursor) throws IOException {
+		String text = cursor.text(TextForms.ADDRESS, ManifestTexts.ADDRESS_WANTED);
+		return text.isEmpty() ? null : TextForms.address(text);
+	}
+
+}
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/ManifestTexts.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/ManifestTexts.java
@@ -39,6 +39,12 @@
 
 	static final String HASH_WANTED = "a SHA-256 in 64 lower-case hexadecimal digits";
 
+	static final String ROLE_WANTED = "entry or backend";
+
+	static final String STATE_WANTED = "live or leaving";
+
+	static final String HOST_FIELDS_WANTED = "a host needs the fields role, address and state";
+
 	static final String NO_DAEMONS = "no failure domain has daemons; list the failure domains with the greatest "
 			+ "number of daemons in each";
 
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/store/ConfigurationStoreClient.java
@@ -0,0 +1,158 @@
+package org.wigeonmast.manifest.store;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import org.wigeonmast.manifest.internal.ManifestBounds;
+
+/**
+ * Reads and watches the platform's configuration store and host list over HTTP.
+ * <p>
+ * Thread safety: usable from any thread; no call blocks. Invariants: each future
+ * completes with a reply within the time limit of its call and never exceptionally; it
+ * completes on a thread of this client. At most {@link #GREATEST_CALLS} calls run at
+ * once, and no reply is larger than its bound.
+ */
+public final class ConfigurationStoreClient implements AutoCloseable {
+
+	/** Greatest number of calls that run at once; further ones wait. */
+	public static final int GREATEST_CALLS = 8;
+
+	/** Greatest size of the host list in bytes; 48,000 hosts take about 80 each. */
+	private static final int GREATEST_HOST_LIST = 8_000_000;
+
+	private static final String INDEX_PATH = "/manifest/index";
+
+	private static final String PARTS_PATH = "/manifest/parts/";
+
+	private static final String HOSTS_PATH = "/hosts";
+
+	private static final int MILLISECONDS_PER_SECOND = 1_000;
+
+	private static final int KEPT_CONNECTIONS = 3;
+
+	private static final long KEPT_SECONDS = 30;
+
+	private final String baseUrl;
+
+	private final long watchWait;
+
+	private final ExecutorService executor;
+
+	private final OkHttpClient readClient;
+
+	private final OkHttpClient watchClient;
+
+	/**
+	 * Creates a client.
+	 * @param baseUrl the URL before {@code /manifest/index}, without a slash at the end
+	 * @param callTimeout the time in milliseconds for a read
+	 * @param watchWait the time in milliseconds that a watch waits for a change
+	 */
+	public ConfigurationStoreClient(URI baseUrl, long callTimeout, long watchWait) {
+		this.baseUrl = baseUrl.toString();
+		this.watchWait = watchWait;
+		// A call that ends starts the next one before its own thread is free again, so
+		// twice as
+		// many threads as calls are needed at times.
+		this.executor = new ThreadPoolExecutor(0, 2 * GREATEST_CALLS, KEPT_SECONDS, TimeUnit.SECONDS,
+				new SynchronousQueue<>(), Thread.ofPlatform().name("store-client-", 0).daemon().factory());
+		Dispatcher dispatcher = new Dispatcher(this.executor);
+		dispatcher.setMaxRequests(GREATEST_CALLS);
+		dispatcher.setMaxRequestsPerHost(GREATEST_CALLS);
+		this.readClient = new OkHttpClient.Builder().dispatcher(dispatcher)
+			.connectionPool(new ConnectionPool(KEPT_CONNECTIONS, KEPT_SECONDS, TimeUnit.SECONDS))
+			.followRedirects(false)
+			.connectTimeout(Duration.ofMillis(callTimeout))
+			.readTimeout(Duration.ofMillis(callTimeout))
+			.callTimeout(Duration.ofMillis(callTimeout))
+			.build();
+		this.watchClient = this.readClient.newBuilder()
+			.readTimeout(Duration.ofMillis(watchWait + callTimeout))
+			.callTimeout(Duration.ofMillis(watchWait + callTimeout))
+			.build();
+	}
+
+	/**
+	 * Reads the index.
+	 * @return the reply
+	 */
+	public CompletableFuture<StoreReply> readIndex() {
+		return call(this.readClient, request(INDEX_PATH), ManifestBounds.GREATEST_DOCUMENT);
+	}
+
+	/**
+	 * Waits until the index differs from the one with the given tag.
+	 * @param entityTag the tag of the index last read, empty for none
+	 * @return the new index, or {@link StoreReply.Unchanged} after the wait
+	 */
+	public CompletableFuture<StoreReply> watchIndex(String entityTag) {
+		return call(this.watchClient, watch(INDEX_PATH, entityTag), ManifestBounds.GREATEST_DOCUMENT);
+	}
+
+	/**
+	 * Reads a part.
+	 * @param hash the SHA-256 of the part in lower-case hexadecimal
+	 * @return the reply, whose bytes have not been checked against the hash
+	 */
+	public CompletableFuture<StoreReply> readPart(String hash) {
+		return call(this.readClient, request(PARTS_PATH + hash), ManifestBounds.GREATEST_DOCUMENT);
+	}
+
+	/**
+	 * Reads the host list.
+	 * @return the reply
+	 */
+	public CompletableFuture<StoreReply> readHosts() {
+		return call(this.readClient, request(HOSTS_PATH), GREATEST_HOST_LIST);
+	}
+
+	/**
+	 * Waits until the host list differs from the one with the given tag.
+	 * @param entityTag the tag of the list last read, empty for none
+	 * @return the new list, or {@link StoreReply.Unchanged} after the wait
+	 */
+	public CompletableFuture<StoreReply> watchHosts(String entityTag) {
+		return call(this.watchClient, watch(HOSTS_PATH, entityTag), GREATEST_HOST_LIST);
+	}
+
+	/**
+	 * Cancels all calls; their futures complete with {@link StoreReply.Failed}.
+	 */
+	@Override
+	public void close() {
+		this.readClient.dispatcher().cancelAll();
+		this.executor.shutdown();
+		this.readClient.connectionPool().evictAll();
+	}
+
+	private Request.Builder request(String path) {
+		return new Request.Builder().url(this.baseUrl + path);
+	}
+
+	private Request.Builder watch(String path, String entityTag) {
+		Request.Builder request = request(path);
+		if (!entityTag.isEmpty()) {
+			request.header("If-None-Match", entityTag);
+			request.header("Prefer", "wait=" + this.watchWait / MILLISECONDS_PER_SECOND);
+		}
+		return request;
+	}
+
+	private static CompletableFuture<StoreReply> call(OkHttpClient client, Request.Builder builder, int greatestSize) {
+		Request request = builder.build();
+		StoreCallback callback = new StoreCallback(request.url().toString(), greatestSize);
+		client.newCall(request).enqueue(callback);
+		return callback.future();
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/store/HostListReader.java
@@ -0,0 +1,24 @@
+package org.wigeonmast.manifest.store;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.wigeonmast.manifest.internal.HostListParser;
+
+/**
+ * Reads the platform's list of hosts.
+ * <p>
+ * Thread safety: stateless.
+ */
+public final class HostListReader {
+
+	/**
+	 * Reads a list.
+	 * @param bytes the JSON document
+	 * @return the hosts, or every error found
+	 */
+	public Either<List<String>, List<PlatformHost>> read(byte[] bytes) {
+		return new HostListParser().parse(bytes);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/store/StoreCallback.java
@@ -0,0 +1,75 @@
+package org.wigeonmast.manifest.store;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Turns the response of one call into a reply.
+ * <p>
+ * Thread safety: usable from any thread. Invariant: reads at most one byte more than the
+ * greatest size.
+ */
+final class StoreCallback implements Callback {
+
+	private static final int OK = 200;
+
+	private static final int NOT_MODIFIED = 304;
+
+	private final CompletableFuture<StoreReply> future = new CompletableFuture<>();
+
+	private final String url;
+
+	private final int greatestSize;
+
+	StoreCallback(String url, int greatestSize) {
+		this.url = url;
+		this.greatestSize = greatestSize;
+	}
+
+	CompletableFuture<StoreReply> future() {
+		return this.future;
+	}
+
+	@Override
+	public void onFailure(Call call, IOException exception) {
+		this.future.complete(failed(String.valueOf(exception.getMessage()), exception));
+	}
+
+	@Override
+	public void onResponse(Call call, Response response) {
+		this.future.complete(read(response));
+	}
+
+	private StoreReply read(Response response) {
+		try (response) {
+			return switch (response.code()) {
+				case OK -> readDocument(response);
+				case NOT_MODIFIED -> new StoreReply.Unchanged();
+				default -> failed("the status is " + response.code(), null);
+			};
+		}
+		catch (IOException exception) {
+			return failed(String.valueOf(exception.getMessage()), exception);
+		}
+	}
+
+	private StoreReply readDocument(Response response) throws IOException {
+		BufferedSource source = response.body().source();
+		if (source.request(this.greatestSize + 1L)) {
+			return failed("the document has more than " + this.greatestSize + " bytes", null);
+		}
+		String entityTag = response.header("ETag");
+		return new StoreReply.Document(source.getBuffer().readByteArray(), (entityTag != null) ? entityTag : "");
+	}
+
+	private StoreReply failed(String message, @Nullable IOException cause) {
+		return new StoreReply.Failed(new ConfigurationStoreException(this.url, message, cause));
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/store/StoreReply.java
@@ -0,0 +1,33 @@
+package org.wigeonmast.manifest.store;
+
+/**
+ * The reply of the configuration store to one call.
+ * <p>
+ * Thread safety: immutable.
+ */
+public sealed interface StoreReply {
+
+	/**
+	 * A document.
+	 *
+	 * @param bytes the bytes of the document
+	 * @param entityTag the tag for the next watch, empty if the store sent none
+	 */
+	record Document(byte[] bytes, String entityTag) implements StoreReply {
+	}
+
+	/**
+	 * The document still has the tag that the call stated.
+	 */
+	record Unchanged() implements StoreReply {
+	}
+
+	/**
+	 * The call failed.
+	 *
+	 * @param cause what failed
+	 */
+	record Failed(ConfigurationStoreException cause) implements StoreReply {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/store/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Client of the platform's configuration store and host list.
+ */
+@NullMarked
+package org.wigeonmast.manifest.store;
+
+import org.jspecify.annotations.NullMarked;
