--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/PublishedManifest.java
@@ -0,0 +1,52 @@
+package org.wigeonmast.cli.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The documents of a manifest as a pipeline publishes them.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param index the bytes of the index
+ * @param parts the bytes of the parts by hash
+ */
+public record PublishedManifest(byte[] index, Map<String, byte[]> parts) {
+
+	/**
+	 * Builds the index for parts.
+	 * @param version the version
+	 * @param partsByName the JSON texts of the parts by name
+	 * @return the documents
+	 */
+	public static PublishedManifest of(long version, Map<String, String> partsByName) {
+		ObjectNode index = JsonNodeFactory.instance.objectNode().put("version", version);
+		ArrayNode entries = index.putArray("parts");
+		Map<String, byte[]> parts = new LinkedHashMap<>();
+		partsByName.forEach((name, text) -> {
+			byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+			String hash = sha256(bytes);
+			parts.put(hash, bytes);
+			entries.addObject().put("name", name).put("sha256", hash).put("size", bytes.length);
+		});
+		return new PublishedManifest(index.toString().getBytes(StandardCharsets.UTF_8), parts);
+	}
+
+	static String sha256(byte[] bytes) {
+		try {
+			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+		}
+		catch (NoSuchAlgorithmException exception) {
+			throw new IllegalStateException("Every Java platform has SHA-256", exception);
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/ServerWork.java
@@ -0,0 +1,51 @@
+package org.wigeonmast.cli.standin;
+
+import java.util.concurrent.Future;
+
+import io.netty.channel.ChannelHandlerContext;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request at a stand-in backend server.
+ * <p>
+ * Thread safety: none; used by the server's thread.
+ */
+final class ServerWork {
+
+	private final ChannelHandlerContext context;
+
+	private final String requestId;
+
+	private final WorkProfile profile;
+
+	private @Nullable Future<?> timer;
+
+	ServerWork(ChannelHandlerContext context, String requestId, WorkProfile profile) {
+		this.context = context;
+		this.requestId = requestId;
+		this.profile = profile;
+	}
+
+	ChannelHandlerContext context() {
+		return this.context;
+	}
+
+	String requestId() {
+		return this.requestId;
+	}
+
+	WorkProfile profile() {
+		return this.profile;
+	}
+
+	void setTimer(Future<?> timer) {
+		this.timer = timer;
+	}
+
+	void cancelTimer() {
+		if (this.timer != null) {
+			this.timer.cancel(false);
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/WatchedDocument.java
@@ -0,0 +1,85 @@
+package org.wigeonmast.cli.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A document with an entity tag that callers can watch with a long poll.
+ * <p>
+ * Thread safety: none; used by the thread of the server.
+ */
+final class WatchedDocument {
+
+	private static final Pattern WAIT = Pattern.compile("wait=([0-9]{1,4})");
+
+	private static final String PREFER = "Prefer";
+
+	private final List<Watch> watches = new ArrayList<>();
+
+	private byte @Nullable [] document;
+
+	private String entityTag = "";
+
+	void set(byte[] newDocument) {
+		this.document = newDocument;
+		this.entityTag = "\"" + PublishedManifest.sha256(newDocument) + "\"";
+		List<Watch> ending = List.copyOf(this.watches);
+		this.watches.clear();
+		ending.forEach((watch) -> send(watch.context()));
+	}
+
+	void answer(ChannelHandlerContext context, FullHttpRequest request) {
+		String known = request.headers().get(HttpHeaderNames.IF_NONE_MATCH, "");
+		if (this.document == null || !known.equals(this.entityTag)) {
+			send(context);
+			return;
+		}
+		Matcher matcher = WAIT.matcher(request.headers().get(PREFER, ""));
+		long seconds = matcher.matches() ? Long.parseLong(matcher.group(1)) : 0;
+		Watch watch = new Watch(context);
+		this.watches.add(watch);
+		context.executor().schedule(() -> end(watch), seconds, TimeUnit.SECONDS);
+	}
+
+	private void end(Watch watch) {
+		if (this.watches.remove(watch)) {
+			FullHttpResponse response = Responses.response(HttpResponseStatus.NOT_MODIFIED, new byte[0]);
+			response.headers().set(HttpHeaderNames.ETAG, this.entityTag);
+			Responses.send(watch.context(), response);
+		}
+	}
+
+	private void send(ChannelHandlerContext context) {
+		FullHttpResponse response = StandInPlatform.json(this.document);
+		if (this.document != null) {
+			response.headers().set(HttpHeaderNames.ETAG, this.entityTag);
+		}
+		Responses.send(context, response);
+	}
+
+	/** Compared by identity, since one connection can wait again later. */
+	private static final class Watch {
+
+		private final ChannelHandlerContext context;
+
+		private Watch(ChannelHandlerContext context) {
+			this.context = context;
+		}
+
+		private ChannelHandlerContext context() {
+			return this.context;
+		}
+
+	}
+
+}
