--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/SettingsError.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/SettingsError.java
@@ -15,14 +15,8 @@
 
 	@Override
 	public String toString() {
-		StringBuilder text = new StringBuilder(this.file).append(": ");
-		if (!this.section.isEmpty()) {
-			text.append('[').append(this.section).append("] ");
-		}
-		if (!this.key.isEmpty()) {
-			text.append(this.key).append(": ");
-		}
-		return text.append(this.problem).append(". ").append(this.remedy).toString();
+		String place = this.section.isEmpty() ? this.key : "[" + this.section + "] " + this.key;
+		return this.file + ": " + (place.isEmpty() ? "" : place.strip() + ": ") + this.problem + ". " + this.remedy;
 	}
 
 }
--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsDocument.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsDocument.java
@@ -25,6 +25,9 @@
  */
 public final class SettingsDocument {
 
+	/** Some editors write this at the start of a file. */
+	private static final String BYTE_ORDER_MARK = "\uFEFF";
+
 	private final String file;
 
 	private final List<String> outside;
@@ -47,7 +50,7 @@
 		try {
 			String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
 			INIConfiguration configuration = new INIConfiguration();
-			configuration.read(new StringReader(text));
+			configuration.read(new StringReader(text.startsWith(BYTE_ORDER_MARK) ? text.substring(1) : text));
 			return Either.right(fromTree(file, configuration.getNodeModel().getRootNode()));
 		}
 		catch (CharacterCodingException exception) {
