--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -0,0 +1,165 @@
+package org.wigeonmast.proxy;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.MillisecondClock;
+import org.wigeonmast.dispatch.ExchangeCommand;
+import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.proxy.internal.CallerInitializer;
+import org.wigeonmast.proxy.internal.ProxyContext;
+
+/**
+ * HTTP/1.1 server that passes requests of callers to backend servers as dispatch
+ * commands.
+ * <p>
+ * Use: create it, set the number of live daemons, {@link #start()} it, give each
+ * {@link RequestEvent} to dispatch and each command of dispatch to
+ * {@link #execute(ExchangeCommand)}; to stop, {@link #drain()}, wait for the future, then
+ * {@link #close()}. The proxy decides nothing about servers or retries: each request that
+ * was announced with {@link RequestEvent.Accepted} waits until dispatch relays a response
+ * or refuses.
+ * <p>
+ * Events of a request: {@code Accepted}; for each attempt either {@code NothingSent}, or
+ * {@code Broken}, or {@code ResponseStarted} and after {@code Relay} either
+ * {@code Completed} or {@code Broken}. {@code Completed}, {@code Broken} with a started
+ * response, {@code CallerLeft} and the command {@code Refuse} end the request; nothing
+ * follows them. After {@code Abort} an attempt reports nothing more, unless its response
+ * was being relayed.
+ * <p>
+ * Thread safety: all methods can be called from any thread. The consumer of events is
+ * called on the traffic thread and must neither block nor throw. One thread carries all
+ * traffic, so exchanges and the backend pool need no locks.
+ */
+public final class ProxyServer implements AutoCloseable {
+
+	private static final int BACKLOG = 1024;
+
+	private static final long SWEEP_MILLISECONDS = 100;
+
+	private static final long CLOSE_TIMEOUT_MILLISECONDS = 2000;
+
+	private final ProxyConfiguration configuration;
+
+	private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("wigeonmast-traffic"));
+
+	private final EventLoop eventLoop = this.group.next();
+
+	private final ProxyContext context;
+
+	private volatile @Nullable Channel listener;
+
+	private volatile IntSupplier liveDaemons = () -> 1;
+
+	/**
+	 * Creates a proxy that does not listen yet.
+	 * @param configuration the configuration
+	 * @param clock the clock, which must be the one that dispatch uses for deadlines
+	 * @param manifests supplies the manifest in force, or {@code null} while there is
+	 * none
+	 * @param events takes the events on the traffic thread
+	 */
+	public ProxyServer(ProxyConfiguration configuration, MillisecondClock clock, Supplier<@Nullable Manifest> manifests,
+			Consumer<RequestEvent> events) {
+		this.configuration = configuration;
+		this.context = new ProxyContext(configuration, clock, manifests, events, () -> this.liveDaemons.getAsInt(),
+				this.eventLoop);
+	}
+
+	/**
+	 * Sets the number of live daemons, by which connections to a backend server are
+	 * divided.
+	 * @param liveDaemons supplies the number, at least 1
+	 */
+	public void setLiveDaemons(IntSupplier liveDaemons) {
+		this.liveDaemons = liveDaemons;
+	}
+
+	/**
+	 * Listens for callers.
+	 * @return the address on which it listens
+	 * @throws ProxyStartException if the address cannot be bound
+	 */
+	public HostAddress start() throws ProxyStartException {
+		int unsent = this.configuration.limits().unsentBytes();
+		HostAddress address = this.configuration.bindAddress();
+		try {
+			Channel bound = new ServerBootstrap().group(this.group)
+				.channel(NioServerSocketChannel.class)
+				.option(ChannelOption.SO_BACKLOG, BACKLOG)
+				.option(ChannelOption.SO_REUSEADDR, true)
+				.childOption(ChannelOption.AUTO_READ, false)
+				.childOption(ChannelOption.TCP_NODELAY, true)
+				.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(unsent / 2, unsent))
+				.childHandler(new CallerInitializer(this.context))
+				.bind(address.address(), address.port())
+				.syncUninterruptibly()
+				.channel();
+			this.listener = bound;
+			this.eventLoop.scheduleAtFixedRate(this.context::sweep, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS,
+					TimeUnit.MILLISECONDS);
+			return new HostAddress(address.address(), ((InetSocketAddress) bound.localAddress()).getPort());
+		}
+		catch (Exception exception) {
+			throw new ProxyStartException(address, exception);
+		}
+	}
+
+	/**
+	 * Carries out a command. Commands for requests that have ended are ignored.
+	 * @param command the command
+	 */
+	public void execute(ExchangeCommand command) {
+		try {
+			this.eventLoop.execute(() -> this.context.execute(command));
+		}
+		catch (RejectedExecutionException exception) {
+			// The proxy was closed, which has ended every request.
+			return;
+		}
+	}
+
+	/**
+	 * Stops accepting connections and finishes all requests in flight. Requests that
+	 * arrive on open connections are still served, with {@code Connection: close}.
+	 * @return completes when all connections of callers are closed
+	 */
+	public CompletableFuture<Void> drain() {
+		CompletableFuture<Void> drained = new CompletableFuture<>();
+		Channel bound = this.listener;
+		if (bound != null) {
+			bound.close();
+		}
+		this.eventLoop.execute(() -> this.context.drain(drained));
+		return drained;
+	}
+
+	/** Closes all connections at once and stops the traffic thread. */
+	@Override
+	public void close() {
+		Channel bound = this.listener;
+		if (bound != null) {
+			bound.close();
+		}
+		this.eventLoop.execute(this.context::closeAll);
+		this.group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
@@ -0,0 +1,226 @@
+package org.wigeonmast.proxy.internal;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.IntSupplier;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.flow.FlowControlHandler;
+import io.netty.util.NetUtil;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.MillisecondClock;
+import org.wigeonmast.dispatch.ConnectionRequirement;
+import org.wigeonmast.manifest.BackendServer;
+import org.wigeonmast.proxy.ProxyConfiguration;
+
+/**
+ * Connections to all backend servers.
+ * <p>
+ * Thread safety: none; the traffic thread owns it. Invariants: the open connections to a
+ * server, including those being made, never exceed this daemon's share of the server's
+ * bound; an idle connection has completed all its responses.
+ */
+final class BackendPool {
+
+	private final ProxyConfiguration configuration;
+
+	private final MillisecondClock clock;
+
+	private final IntSupplier liveDaemons;
+
+	private final Bootstrap bootstrap;
+
+	private final Map<HostAddress, ServerConnections> servers = new HashMap<>();
+
+	BackendPool(ProxyConfiguration configuration, MillisecondClock clock, IntSupplier liveDaemons,
+			EventLoop eventLoop) {
+		this.configuration = configuration;
+		this.clock = clock;
+		this.liveDaemons = liveDaemons;
+		int unsent = configuration.limits().unsentBytes();
+		this.bootstrap = new Bootstrap().group(eventLoop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.AUTO_READ, false)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) configuration.timeouts().connect())
+			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(unsent / 2, unsent));
+	}
+
+	/**
+	 * Lends a connection to an attempt, at once or after connecting.
+	 * @param server the server
+	 * @param requirement which connection may be used
+	 * @param attempt the attempt, whose {@link Attempt#connected} or
+	 * {@link Attempt#connectFailed} is called
+	 */
+	void acquire(BackendServer server, ConnectionRequirement requirement, Attempt attempt) {
+		ServerConnections connections = this.servers.computeIfAbsent(server.address(),
+				(address) -> new ServerConnections());
+		BackendConnection idle = takeIdle(connections, requirement);
+		if (idle != null) {
+			attempt.connected(idle);
+			return;
+		}
+		int bound = Math.max(1, share(server));
+		if (connections.open >= bound) {
+			BackendConnection oldest = connections.idle.pollFirst();
+			if (oldest == null) {
+				attempt.connectFailed("All " + bound + " connections to " + server.id() + " are in use");
+				return;
+			}
+			oldest.close();
+		}
+		connect(server, connections, attempt);
+	}
+
+	/**
+	 * Takes back a connection whose last response is complete, or that was not used.
+	 * @param server the server
+	 * @param connection the connection
+	 */
+	void release(BackendServer server, BackendConnection connection) {
+		connection.detach();
+		ServerConnections connections = this.servers.get(server.address());
+		int share = share(server);
+		// A share below one connection is held only while a request runs, so that
+		// daemons take turns.
+		if (connections == null || share < 1 || connections.open > share || !connection.isActive()) {
+			connection.close();
+			return;
+		}
+		connections.idle.addLast(connection);
+		connection.ask();
+	}
+
+	/**
+	 * Closes connections that have been idle for too long.
+	 * @param now the monotonic time in milliseconds
+	 */
+	void closeIdle(long now) {
+		long oldest = now - this.configuration.timeouts().backendIdle();
+		Iterator<ServerConnections> all = this.servers.values().iterator();
+		while (all.hasNext()) {
+			ServerConnections connections = all.next();
+			BackendConnection first = connections.idle.peekFirst();
+			while (first != null && first.lastProven() <= oldest) {
+				connections.idle.removeFirst();
+				first.close();
+				first = connections.idle.peekFirst();
+			}
+			if (connections.open == 0) {
+				all.remove();
+			}
+		}
+	}
+
+	/** Closes all idle connections. */
+	void closeIdle() {
+		closeIdle(Long.MAX_VALUE);
+	}
+
+	/**
+	 * Returns the number of open connections.
+	 * @return the number, with those being made
+	 */
+	int open() {
+		return this.servers.values().stream().mapToInt((connections) -> connections.open).sum();
+	}
+
+	private int share(BackendServer server) {
+		return server.connections() / Math.max(1, this.liveDaemons.getAsInt());
+	}
+
+	private @Nullable BackendConnection takeIdle(ServerConnections connections, ConnectionRequirement requirement) {
+		BackendConnection last = connections.idle.pollLast();
+		while (last != null && !last.isActive()) {
+			last = connections.idle.pollLast();
+		}
+		if (last != null && requirement == ConnectionRequirement.PROVEN
+				&& this.clock.milliseconds() - last.lastProven() > this.configuration.timeouts().proven()) {
+			connections.idle.addLast(last);
+			return null;
+		}
+		return last;
+	}
+
+	private void connect(BackendServer server, ServerConnections connections, Attempt attempt) {
+		byte[] address = NetUtil.createByteArrayFromIpAddressString(server.address().address());
+		if (address == null) {
+			attempt.connectFailed(server.address() + " is no IP address");
+			return;
+		}
+		BackendResponseDecoder decoder = new BackendResponseDecoder(this.configuration.limits());
+		BackendConnection connection = new BackendConnection(decoder);
+		ChannelFuture connecting = this.bootstrap.clone()
+			.handler(new Initializer(decoder, connection))
+			.connect(new InetSocketAddress(inetAddress(address), server.address().port()));
+		connections.open++;
+		connecting.channel().closeFuture().addListener((closed) -> {
+			connections.open--;
+			connections.idle.remove(connection);
+		});
+		connecting.addListener((future) -> {
+			if (future.isSuccess()) {
+				connection.setLastProven(this.clock.milliseconds());
+				attempt.connected(connection);
+			}
+			else {
+				attempt.connectFailed("Connecting failed: " + future.cause().getMessage());
+			}
+		});
+	}
+
+	private static InetAddress inetAddress(byte[] address) {
+		try {
+			return InetAddress.getByAddress(address);
+		}
+		catch (UnknownHostException exception) {
+			throw new IllegalStateException("An IP address has 4 or 16 bytes", exception);
+		}
+	}
+
+	/** Connections to one server; idle ones are in the order of their last use. */
+	private static final class ServerConnections {
+
+		private final Deque<BackendConnection> idle = new ArrayDeque<>();
+
+		private int open;
+
+	}
+
+	/** Sets up the handlers of a new connection. */
+	private static final class Initializer extends ChannelInitializer<SocketChannel> {
+
+		private final BackendResponseDecoder decoder;
+
+		private final BackendConnection connection;
+
+		private Initializer(BackendResponseDecoder decoder, BackendConnection connection) {
+			this.decoder = decoder;
+			this.connection = connection;
+		}
+
+		@Override
+		protected void initChannel(SocketChannel channel) {
+			channel.pipeline()
+				.addLast(new HttpRequestEncoder(), this.decoder, new FlowControlHandler(), this.connection);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -0,0 +1,439 @@
+package org.wigeonmast.proxy.internal;
+
+import java.net.InetSocketAddress;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.proxy.ProxyConfiguration;
+import org.wigeonmast.proxy.ProxyHeaders;
+
+/**
+ * Connection of a caller, whose requests are served one at a time in order.
+ * <p>
+ * Thread safety: none; the traffic thread owns it. Invariants: at most one request is in
+ * progress and at most one message of the next one is held; after a response that is cut
+ * short, or that leaves part of the request unread, the connection closes.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+	private static final long LINGER_MILLISECONDS = 1000;
+
+	private final ProxyContext context;
+
+	private final CallerResponseEncoder encoder;
+
+	private @Nullable ChannelHandlerContext channelContext;
+
+	private @Nullable MessageReader reader;
+
+	private @Nullable Exchange exchange;
+
+	private @Nullable HttpObject held;
+
+	private State state = State.HEAD;
+
+	private boolean keepAlive;
+
+	private boolean headStarted;
+
+	private long since;
+
+	CallerConnection(ProxyContext context, CallerResponseEncoder encoder) {
+		this.context = context;
+		this.encoder = encoder;
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext added) {
+		this.channelContext = added;
+		this.reader = new MessageReader(added);
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext from) {
+		this.since = now();
+		if (this.context.isFull()) {
+			from.close();
+			return;
+		}
+		this.context.add(this);
+		ask();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext from) {
+		this.context.remove(this);
+		this.state = State.CLOSING;
+		releaseHeld();
+		Exchange current = this.exchange;
+		this.exchange = null;
+		if (current != null) {
+			current.callerLeft();
+		}
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext from, Object message) {
+		if (this.reader != null) {
+			this.reader.received();
+		}
+		switch (this.state) {
+			case HEAD -> receivedHead((HttpObject) message);
+			case BODY -> receivedBody((HttpObject) message);
+			case ANSWERING -> {
+				releaseHeld();
+				this.held = (HttpObject) message;
+			}
+			case CLOSING -> {
+				ReferenceCountUtil.release(message);
+				ask();
+			}
+		}
+	}
+
+	private void receivedHead(HttpObject message) {
+		if (!(message instanceof HttpRequest request)) {
+			// The end of a request that was refused before its end arrived.
+			ReferenceCountUtil.release(message);
+			ask();
+			return;
+		}
+		this.headStarted = false;
+		this.keepAlive = false;
+		this.encoder.setHead(HttpMethod.HEAD.equals(request.method()));
+		Either<Rejection, AdmittedHead> admitted = this.context.admission().admit(request, peer());
+		if (admitted.isLeft()) {
+			String declaredId = RequestAdmission.declaredId(request);
+			ReferenceCountUtil.release(message);
+			reject(admitted.getLeft(), declaredId);
+			return;
+		}
+		this.keepAlive = admitted.get().keepAlive();
+		this.state = State.BODY;
+		this.since = now();
+		this.exchange = new Exchange(this.context, this, admitted.get());
+		this.exchange.begin();
+	}
+
+	private void receivedBody(HttpObject message) {
+		Exchange current = this.exchange;
+		if (current == null || !(message instanceof HttpContent content)) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
+		if (message.decoderResult().isFailure()) {
+			ReferenceCountUtil.release(message);
+			Rejection rejection = RequestAdmission.undecodable(message.decoderResult());
+			current.abandon(rejection.problem(), rejection.detail());
+			return;
+		}
+		this.since = now();
+		if (message instanceof LastHttpContent) {
+			this.state = State.ANSWERING;
+		}
+		current.content(content);
+		if (this.state == State.ANSWERING) {
+			// The next message is awaited so that it is noticed when the caller leaves.
+			ask();
+		}
+	}
+
+	@Override
+	public void channelReadComplete(ChannelHandlerContext from) {
+		if (this.reader != null) {
+			this.reader.readComplete();
+		}
+		if (this.exchange != null) {
+			this.exchange.flushBody();
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext from) {
+		if (this.exchange != null && from.channel().isWritable()) {
+			this.exchange.callerWritable();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext from, Throwable cause) {
+		if (!(cause instanceof DecoderException) || this.state == State.CLOSING) {
+			from.close();
+			return;
+		}
+		Throwable reason = (cause.getCause() != null) ? cause.getCause() : cause;
+		Rejection rejection = RequestAdmission.undecodable(reason);
+		if (this.exchange != null) {
+			this.exchange.abandon(rejection.problem(), rejection.detail());
+		}
+		else {
+			reject(rejection, null);
+		}
+	}
+
+	private void reject(Rejection rejection, @Nullable String declaredId) {
+		String id = (declaredId != null) ? declaredId : this.context.admission().nextId().value();
+		FullHttpResponse response = (rejection.problem() == Problem.NOT_RUN)
+				? ProblemResponses.notRun(rejection.detail(), id, this.context.configuration().timeouts().retryAfter())
+				: ProblemResponses.make(rejection.problem(), rejection.detail(), id, false);
+		respond(response, false);
+	}
+
+	/** Tells the caller to send the body. */
+	void sendContinue() {
+		channelContext().writeAndFlush(
+				new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+	}
+
+	/**
+	 * Answers the current request with a response of the proxy itself.
+	 * @param response the response
+	 * @param requestComplete whether the whole request was read
+	 */
+	void respond(FullHttpResponse response, boolean requestComplete) {
+		this.exchange = null;
+		if (!channelContext().channel().isActive()) {
+			response.release();
+			return;
+		}
+		this.keepAlive &= requestComplete;
+		closeUnlessKeptAlive(response.headers());
+		this.state = State.ANSWERING;
+		this.since = now();
+		channelContext().writeAndFlush(response).addListener((written) -> next());
+	}
+
+	/**
+	 * Begins to relay a response.
+	 * @param response the response, whose hop-by-hop fields are removed
+	 * @param requestId the identifier that the caller sees
+	 * @param requestComplete whether the whole request was read
+	 */
+	void respondHead(HttpResponse response, String requestId, boolean requestComplete) {
+		HttpHeaders headers = response.headers();
+		boolean chunked = HttpUtil.isTransferEncodingChunked(response);
+		HopByHopHeaders.remove(headers);
+		headers.remove(ProxyHeaders.SERVER_STATE);
+		headers.set(ProxyHeaders.REQUEST_ID, requestId);
+		if (chunked || !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+			setChunked(response);
+		}
+		response.setProtocolVersion(HttpVersion.HTTP_1_1);
+		this.keepAlive &= requestComplete;
+		closeUnlessKeptAlive(headers);
+		channelContext().write(response);
+	}
+
+	private void setChunked(HttpResponse response) {
+		int status = response.status().code();
+		boolean empty = this.encoder.isHead() || status == HttpResponseStatus.NO_CONTENT.code()
+				|| status == HttpResponseStatus.NOT_MODIFIED.code();
+		if (!empty) {
+			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		}
+	}
+
+	private void closeUnlessKeptAlive(HttpHeaders headers) {
+		this.keepAlive &= !this.context.isDraining();
+		if (!this.keepAlive) {
+			headers.add(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		}
+	}
+
+	/**
+	 * Relays a piece of the response.
+	 * @param content the piece, which the channel then owns
+	 * @return whether the caller takes more at once
+	 */
+	boolean respondContent(HttpContent content) {
+		channelContext().write(content);
+		return channelContext().channel().isWritable();
+	}
+
+	/**
+	 * Relays the end of the response.
+	 * @param content the last piece, which the channel then owns
+	 * @param completed runs when everything was handed to the operating system
+	 */
+	void respondLast(ByteBuf content, Runnable completed) {
+		ChannelFuture written = channelContext().writeAndFlush(new DefaultLastHttpContent(content));
+		written.addListener((future) -> {
+			if (future.isSuccess()) {
+				completed.run();
+			}
+			else {
+				channelContext().close();
+			}
+		});
+	}
+
+	/** Serves the next request, or closes, after a response is complete. */
+	void exchangeEnded() {
+		this.exchange = null;
+		next();
+	}
+
+	private void next() {
+		if (!channelContext().channel().isActive()) {
+			return;
+		}
+		if (!this.keepAlive) {
+			linger();
+			return;
+		}
+		this.state = State.HEAD;
+		this.since = now();
+		HttpObject waiting = this.held;
+		this.held = null;
+		if (waiting != null) {
+			receivedHead(waiting);
+		}
+		else {
+			ask();
+		}
+	}
+
+	/**
+	 * Closes this side and discards what the caller still sends, because closing while
+	 * bytes are unread would reset the connection and could destroy the response.
+	 */
+	private void linger() {
+		this.state = State.CLOSING;
+		this.since = now();
+		releaseHeld();
+		((DuplexChannel) channelContext().channel()).shutdownOutput();
+		ask();
+	}
+
+	/** Resets the connection, so that the caller cannot take a response for complete. */
+	void breakTransfer() {
+		this.state = State.CLOSING;
+		this.exchange = null;
+		channelContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		channelContext().close();
+	}
+
+	/**
+	 * Closes the connection if it has been idle or too slow.
+	 * @param now the monotonic time in milliseconds
+	 */
+	void checkTimeouts(long now) {
+		ProxyConfiguration.Timeouts timeouts = this.context.configuration().timeouts();
+		long waited = now - this.since;
+		switch (this.state) {
+			case HEAD -> checkHead(waited, timeouts);
+			case BODY -> checkBody(waited, now, timeouts);
+			case ANSWERING -> {
+				if (this.exchange == null && waited > timeouts.keepAlive()) {
+					channelContext().close();
+				}
+			}
+			case CLOSING -> {
+				if (waited > LINGER_MILLISECONDS) {
+					channelContext().close();
+				}
+			}
+		}
+	}
+
+	private void checkHead(long waited, ProxyConfiguration.Timeouts timeouts) {
+		if (this.headStarted && waited > timeouts.head()) {
+			reject(new Rejection(Problem.TOO_SLOW, "The head did not arrive in time"), null);
+		}
+		else if (!this.headStarted
+				&& waited > (this.context.isDraining() ? timeouts.drainIdle() : timeouts.keepAlive())) {
+			linger();
+		}
+	}
+
+	private void checkBody(long waited, long now, ProxyConfiguration.Timeouts timeouts) {
+		Exchange current = this.exchange;
+		if (current == null) {
+			return;
+		}
+		boolean slow = current.awaitsBody() && waited > timeouts.body();
+		if (slow || (!current.isAccepted() && now > current.head().deadline())) {
+			current.abandon(Problem.TOO_SLOW, "The body did not arrive in time");
+		}
+	}
+
+	/** Notes that the first byte of a head has arrived. */
+	void headStarted() {
+		this.headStarted = true;
+		this.since = now();
+	}
+
+	/** Asks for the next message of the caller. */
+	void ask() {
+		if (this.reader != null) {
+			this.reader.ask();
+		}
+	}
+
+	void flush() {
+		channelContext().flush();
+	}
+
+	private String peer() {
+		return (channelContext().channel().remoteAddress() instanceof InetSocketAddress address)
+				? address.getAddress().getHostAddress() : "unknown";
+	}
+
+	private void releaseHeld() {
+		ReferenceCountUtil.release(this.held);
+		this.held = null;
+	}
+
+	private long now() {
+		return this.context.clock().milliseconds();
+	}
+
+	private ChannelHandlerContext channelContext() {
+		if (this.channelContext == null) {
+			throw new IllegalStateException("The connection has no channel yet");
+		}
+		return this.channelContext;
+	}
+
+	/** What the connection waits for. */
+	private enum State {
+
+		/** The head of a request. */
+		HEAD,
+
+		/** The body of the current request. */
+		BODY,
+
+		/** The answer to the current request, which was read completely. */
+		ANSWERING,
+
+		/** The caller to close. */
+		CLOSING
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerRequestDecoder.java
@@ -0,0 +1,99 @@
+package org.wigeonmast.proxy.internal;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.wigeonmast.proxy.ProxyConfiguration;
+
+/**
+ * Decodes requests of callers and fails on those that another implementation could
+ * understand differently.
+ * <p>
+ * Thread safety: none; the traffic thread owns it. Invariant: after a failure nothing
+ * more is decoded.
+ */
+final class CallerRequestDecoder extends HttpRequestDecoder {
+
+	private final Runnable headStarted;
+
+	private boolean inHead;
+
+	private boolean inBody;
+
+	private boolean failed;
+
+	CallerRequestDecoder(ProxyConfiguration.Limits limits, Runnable headStarted) {
+		super(configuration(limits));
+		this.headStarted = headStarted;
+	}
+
+	static HttpDecoderConfig configuration(ProxyConfiguration.Limits limits) {
+		return new HttpDecoderConfig().setMaxInitialLineLength(limits.requestLine())
+			.setMaxHeaderSize(limits.headers())
+			.setStrictLineParsing(true)
+			.setUseRfc9112TransferEncoding(true);
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext from, ByteBuf bytes, List<Object> out) throws Exception {
+		if (this.failed) {
+			bytes.skipBytes(bytes.readableBytes());
+			return;
+		}
+		if (!this.inBody) {
+			checkHead(bytes);
+		}
+		int before = out.size();
+		super.decode(from, bytes, out);
+		for (int i = before; i < out.size(); i++) {
+			Object message = out.get(i);
+			if (message instanceof HttpRequest) {
+				this.inBody = true;
+				this.inHead = false;
+			}
+			if (message instanceof LastHttpContent) {
+				this.inBody = false;
+			}
+		}
+	}
+
+	/**
+	 * Fails on lines that begin with white space (obsolete folding), which the decoder
+	 * would join to the line before. The decoder consumes whole lines, so the bytes begin
+	 * with a line.
+	 * @param bytes the bytes that were not decoded yet
+	 */
+	private void checkHead(ByteBuf bytes) {
+		if (!this.inHead && bytes.isReadable()) {
+			this.inHead = true;
+			this.headStarted.run();
+		}
+		int line = bytes.readerIndex();
+		int end = bytes.writerIndex();
+		while (line < end) {
+			byte first = bytes.getByte(line);
+			if (first == ' ' || first == '\t') {
+				this.failed = true;
+				throw new IllegalArgumentException("A line of the head begins with white space");
+			}
+			boolean empty = first == '\r' || first == '\n';
+			int feed = bytes.indexOf(line, end, (byte) '\n');
+			if (feed < 0 || (empty && line > bytes.readerIndex())) {
+				return;
+			}
+			line = feed + 1;
+		}
+	}
+
+	@Override
+	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+		throw new IllegalArgumentException("The request has both Content-Length and Transfer-Encoding");
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
@@ -0,0 +1,368 @@
+package org.wigeonmast.proxy.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.RequestOutcome;
+import org.wigeonmast.dispatch.AttemptReport;
+import org.wigeonmast.dispatch.ExchangeCommand;
+import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.proxy.ProxyHeaders;
+
+/**
+ * One request of a caller from its head to the end of its answer.
+ * <p>
+ * Thread safety: none; the traffic thread owns it. Invariants: the caller gets the
+ * response of at most one attempt; a refusal says {@code not-run} only if no attempt can
+ * have run the request.
+ */
+final class Exchange {
+
+	private final ProxyContext context;
+
+	private final CallerConnection caller;
+
+	private final AdmittedHead head;
+
+	private final RequestBody body;
+
+	private final List<Attempt> attempts = new ArrayList<>(1);
+
+	private @Nullable Attempt bodyTaker;
+
+	private @Nullable Attempt relaying;
+
+	private boolean accepted;
+
+	private boolean replayable;
+
+	private boolean mayHaveRun;
+
+	private boolean ended;
+
+	Exchange(ProxyContext context, CallerConnection caller, AdmittedHead head) {
+		this.context = context;
+		this.caller = caller;
+		this.head = head;
+		this.body = new RequestBody(context);
+	}
+
+	/** Begins to read the body, or announces the request if its body is streamed. */
+	void begin() {
+		this.context.begin(this.head.id(), this);
+		if (this.head.contentLength() > this.context.configuration().limits().replayableBody()) {
+			accept(false);
+			return;
+		}
+		if (this.head.expectsContinue()) {
+			this.caller.sendContinue();
+		}
+		this.caller.ask();
+	}
+
+	/**
+	 * Handles a piece of the body.
+	 * @param content the piece, which this exchange then owns
+	 */
+	void content(HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		int bytes = content.content().readableBytes();
+		if (this.body.received() + bytes > this.context.configuration().limits().body()) {
+			content.release();
+			abandon(Problem.BODY_TOO_LARGE, "The body exceeds the limit");
+			return;
+		}
+		boolean held = this.accepted || this.body.reserve(bytes);
+		this.body.add(content.content(), last);
+		if (!this.accepted && (last || !held)) {
+			accept(last && held);
+		}
+		if (this.bodyTaker != null) {
+			this.bodyTaker.sendBody(this.body.take(), this.body.isComplete());
+		}
+		bodyWanted();
+	}
+
+	/** Asks for the next piece of the body if there is room for it. */
+	void bodyWanted() {
+		if (!this.ended && awaitsBody()) {
+			this.caller.ask();
+		}
+	}
+
+	private void accept(boolean held) {
+		this.accepted = true;
+		this.replayable = held;
+		this.context.emit(new RequestEvent.Accepted(this.head.describe(held)));
+		if (!this.body.isComplete()) {
+			// One piece is read ahead, so that it is noticed when the caller leaves.
+			this.caller.ask();
+		}
+	}
+
+	/**
+	 * Sends a streamed body to an attempt.
+	 * @param attempt the attempt
+	 */
+	void attachBody(Attempt attempt) {
+		this.bodyTaker = attempt;
+		if (this.head.expectsContinue() && this.body.received() == 0) {
+			this.caller.sendContinue();
+		}
+		attempt.sendBody(this.body.take(), this.body.isComplete());
+		bodyWanted();
+	}
+
+	void flushBody() {
+		if (this.bodyTaker != null) {
+			this.bodyTaker.flushBody();
+		}
+	}
+
+	/**
+	 * Carries out a command.
+	 * @param command the command
+	 */
+	void execute(ExchangeCommand command) {
+		switch (command) {
+			case ExchangeCommand.StartAttempt start -> startAttempt(start);
+			case ExchangeCommand.Relay relay -> relay(relay.attempt());
+			case ExchangeCommand.Abort abort -> abort(abort.attempt());
+			case ExchangeCommand.Refuse refuse -> refuse(refuse.outcome());
+		}
+	}
+
+	private void startAttempt(ExchangeCommand.StartAttempt command) {
+		if (this.relaying != null) {
+			return;
+		}
+		Attempt attempt = new Attempt(this.context, this, command);
+		this.attempts.add(attempt);
+		attempt.start();
+	}
+
+	private void relay(int number) {
+		Attempt attempt = find(number);
+		if (attempt != null && this.relaying == null) {
+			attempt.relay();
+		}
+	}
+
+	private void abort(int number) {
+		Attempt attempt = find(number);
+		if (attempt == null) {
+			return;
+		}
+		if (attempt == this.relaying) {
+			attempt.fail("Dispatch ended the attempt", false);
+			return;
+		}
+		attempt.end();
+		remove(attempt);
+	}
+
+	private void refuse(RequestOutcome outcome) {
+		for (Attempt attempt : List.copyOf(this.attempts)) {
+			attempt.end();
+			remove(attempt);
+		}
+		boolean started = this.relaying != null;
+		end();
+		if (started) {
+			this.caller.breakTransfer();
+			return;
+		}
+		this.caller.respond(refusal(outcome), this.body.isComplete());
+	}
+
+	private FullHttpResponse refusal(RequestOutcome outcome) {
+		String id = this.head.shownId();
+		return switch (outcome) {
+			case RequestOutcome.NotRun notRun when !this.mayHaveRun ->
+				ProblemResponses.notRun(notRun.reason(), id, notRun.retryAfter());
+			case RequestOutcome.NotRun notRun -> unknown(notRun.reason(), id);
+			case RequestOutcome.Unknown unknown -> unknown(unknown.reason(), id);
+			case RequestOutcome.Answered answered -> unknown("The answer " + answered.status() + " was lost", id);
+		};
+	}
+
+	private FullHttpResponse unknown(String reason, String id) {
+		boolean late = this.context.clock().milliseconds() >= this.head.deadline();
+		return ProblemResponses.make(late ? Problem.DEADLINE_PASSED : Problem.UNKNOWN, reason, id, true);
+	}
+
+	/**
+	 * Begins to relay a response.
+	 * @param attempt the attempt
+	 * @param response the response
+	 */
+	void relayHead(Attempt attempt, HttpResponse response) {
+		this.relaying = attempt;
+		boolean truthful = !this.mayHaveRun && !attempt.mayHaveRun();
+		for (Attempt other : List.copyOf(this.attempts)) {
+			if (other != attempt) {
+				truthful &= !other.mayHaveRun();
+				other.end();
+				remove(other);
+			}
+		}
+		if (!truthful) {
+			response.headers().remove(ProxyHeaders.REQUEST_EXECUTION);
+		}
+		this.caller.respondHead(response, this.head.shownId(), this.body.isComplete());
+	}
+
+	/**
+	 * Relays a piece of the response.
+	 * @param content the piece, which the caller's connection then owns
+	 * @return whether the caller takes more at once
+	 */
+	boolean relayContent(HttpContent content) {
+		return this.caller.respondContent(content);
+	}
+
+	/**
+	 * Relays the end of the response.
+	 * @param attempt the attempt
+	 * @param content the last piece, which the caller's connection then owns
+	 */
+	void relayLast(Attempt attempt, ByteBuf content) {
+		this.caller.respondLast(content, () -> completed(attempt));
+	}
+
+	private void completed(Attempt attempt) {
+		if (this.ended) {
+			return;
+		}
+		attempt.end();
+		end();
+		report(attempt, new AttemptReport.Completed(attempt.status()));
+		this.caller.exchangeEnded();
+	}
+
+	void flushResponse() {
+		this.caller.flush();
+	}
+
+	/** Continues to relay after the caller has taken some of the response. */
+	void callerWritable() {
+		if (this.relaying != null) {
+			this.relaying.callerWritable();
+		}
+	}
+
+	/**
+	 * Reports progress of an attempt.
+	 * @param attempt the attempt
+	 * @param report what was seen
+	 */
+	void report(Attempt attempt, AttemptReport report) {
+		this.context.emit(new RequestEvent.AttemptProgress(this.head.id(), attempt.number(), report));
+	}
+
+	/**
+	 * Handles the end of an attempt without a complete response.
+	 * @param attempt the attempt
+	 * @param report what was seen
+	 */
+	void attemptFailed(Attempt attempt, AttemptReport report) {
+		remove(attempt);
+		if (attempt == this.relaying) {
+			end();
+			this.caller.breakTransfer();
+		}
+		report(attempt, report);
+	}
+
+	/** Ends the exchange because the caller closed its connection. */
+	void callerLeft() {
+		if (this.ended) {
+			return;
+		}
+		end();
+		if (this.accepted) {
+			this.context.emit(new RequestEvent.CallerLeft(this.head.id()));
+		}
+	}
+
+	/** Ends the exchange because the caller does not read its response. */
+	void callerTooSlow() {
+		callerLeft();
+		this.caller.breakTransfer();
+	}
+
+	/**
+	 * Ends the exchange because of the caller's body. Dispatch is told that the caller
+	 * left.
+	 * @param problem the kind of problem
+	 * @param detail what is wrong
+	 */
+	void abandon(Problem problem, String detail) {
+		boolean started = this.relaying != null;
+		this.attempts.forEach((attempt) -> this.mayHaveRun |= attempt.mayHaveRun());
+		callerLeft();
+		if (started) {
+			this.caller.breakTransfer();
+			return;
+		}
+		this.caller.respond(ProblemResponses.make(problem, detail, this.head.shownId(), this.mayHaveRun), false);
+	}
+
+	AdmittedHead head() {
+		return this.head;
+	}
+
+	RequestBody body() {
+		return this.body;
+	}
+
+	boolean isReplayable() {
+		return this.replayable;
+	}
+
+	/**
+	 * Returns whether the next piece of the body is being waited for.
+	 * @return whether the caller's connection is being read
+	 */
+	boolean awaitsBody() {
+		return !this.body.isComplete() && ((this.bodyTaker != null) ? this.bodyTaker.isWritable() : !this.accepted);
+	}
+
+	boolean isAccepted() {
+		return this.accepted;
+	}
+
+	private void end() {
+		this.ended = true;
+		this.context.end(this.head.id());
+		for (Attempt attempt : List.copyOf(this.attempts)) {
+			attempt.end();
+		}
+		this.attempts.clear();
+		this.body.release();
+	}
+
+	private void remove(Attempt attempt) {
+		this.attempts.remove(attempt);
+		this.mayHaveRun |= attempt.mayHaveRun();
+		if (this.bodyTaker == attempt) {
+			this.bodyTaker = null;
+		}
+	}
+
+	private @Nullable Attempt find(int number) {
+		for (Attempt attempt : this.attempts) {
+			if (attempt.number() == number) {
+				return attempt;
+			}
+		}
+		return null;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProblemResponses.java
@@ -0,0 +1,95 @@
+package org.wigeonmast.proxy.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpVersion;
+import org.wigeonmast.proxy.ProxyHeaders;
+
+/**
+ * Makes responses with problem documents (RFC 9457).
+ * <p>
+ * Thread safety: stateless.
+ */
+final class ProblemResponses {
+
+	private static final String CONTENT_TYPE = "application/problem+json";
+
+	private static final String INSTANCE_PREFIX = "urn:wigeonmast:request:";
+
+	private static final String SERVED_METHODS = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS";
+
+	private static final long MILLISECONDS_PER_SECOND = 1000;
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private ProblemResponses() {
+	}
+
+	/**
+	 * Makes a response.
+	 * @param problem the kind of problem
+	 * @param detail what happened to this request
+	 * @param requestId the identifier that the caller sees
+	 * @param run whether the request may have been run
+	 * @return the response, with its length
+	 */
+	static FullHttpResponse make(Problem problem, String detail, String requestId, boolean run) {
+		ObjectNode document = MAPPER.createObjectNode()
+			.put("type", problem.type())
+			.put("title", problem.title())
+			.put("status", problem.status().code())
+			.put("detail", detail)
+			.put("instance", INSTANCE_PREFIX + requestId)
+			.put("execution", run ? ProxyHeaders.UNKNOWN : ProxyHeaders.NOT_RUN);
+		byte[] content = bytes(document);
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, problem.status(),
+				Unpooled.wrappedBuffer(content));
+		response.headers()
+			.set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE)
+			.set(HttpHeaderNames.CONTENT_LENGTH, content.length)
+			.set(ProxyHeaders.REQUEST_ID, requestId);
+		if (problem == Problem.NOT_RUN) {
+			response.headers().set(ProxyHeaders.REQUEST_EXECUTION, ProxyHeaders.NOT_RUN);
+		}
+		if (problem == Problem.METHOD) {
+			response.headers().set(HttpHeaderNames.ALLOW, SERVED_METHODS);
+		}
+		if (problem == Problem.VERSION) {
+			response.headers().set(HttpHeaderNames.UPGRADE, HttpVersion.HTTP_1_1.text());
+			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.UPGRADE);
+		}
+		return response;
+	}
+
+	/**
+	 * Makes the response to a request that has not been run.
+	 * @param detail the reason
+	 * @param requestId the identifier that the caller sees
+	 * @param retryAfter the advised wait in milliseconds, 0 for none
+	 * @return the response
+	 */
+	static FullHttpResponse notRun(String detail, String requestId, long retryAfter) {
+		FullHttpResponse response = make(Problem.NOT_RUN, detail, requestId, false);
+		if (retryAfter > 0) {
+			response.headers()
+				.set(HttpHeaderNames.RETRY_AFTER, (retryAfter + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND);
+		}
+		return response;
+	}
+
+	private static byte[] bytes(ObjectNode document) {
+		try {
+			return MAPPER.writeValueAsBytes(document);
+		}
+		catch (JsonProcessingException exception) {
+			throw new IllegalStateException("A tree of text and numbers cannot fail to serialize", exception);
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
@@ -0,0 +1,189 @@
+package org.wigeonmast.proxy.internal;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.MillisecondClock;
+import org.wigeonmast.core.RequestId;
+import org.wigeonmast.dispatch.ExchangeCommand;
+import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.proxy.ProxyConfiguration;
+
+/**
+ * What the connections and exchanges of one proxy share.
+ * <p>
+ * Thread safety: none; the traffic thread owns it.
+ */
+public final class ProxyContext {
+
+	private final ProxyConfiguration configuration;
+
+	private final MillisecondClock clock;
+
+	private final Supplier<@Nullable Manifest> manifests;
+
+	private final Consumer<RequestEvent> events;
+
+	private final EventLoop eventLoop;
+
+	private final BackendPool pool;
+
+	private final RequestAdmission admission;
+
+	private final Map<RequestId, Exchange> exchanges = new HashMap<>();
+
+	private final Set<CallerConnection> callers = new HashSet<>();
+
+	private long replayableBytes;
+
+	private @Nullable CompletableFuture<Void> drained;
+
+	/**
+	 * Creates a context.
+	 * @param configuration the configuration
+	 * @param clock the clock
+	 * @param manifests supplies the manifest in force, or {@code null}
+	 * @param events takes the events
+	 * @param liveDaemons supplies the number of live daemons
+	 * @param eventLoop the event loop of the traffic thread
+	 */
+	public ProxyContext(ProxyConfiguration configuration, MillisecondClock clock,
+			Supplier<@Nullable Manifest> manifests, Consumer<RequestEvent> events, IntSupplier liveDaemons,
+			EventLoop eventLoop) {
+		this.configuration = configuration;
+		this.clock = clock;
+		this.manifests = manifests;
+		this.events = events;
+		this.eventLoop = eventLoop;
+		this.pool = new BackendPool(configuration, clock, liveDaemons, eventLoop);
+		this.admission = new RequestAdmission(this);
+	}
+
+	/**
+	 * Carries out a command. Commands for requests that have ended are ignored.
+	 * @param command the command
+	 */
+	public void execute(ExchangeCommand command) {
+		Exchange exchange = this.exchanges.get(command.request());
+		if (exchange != null) {
+			exchange.execute(command);
+		}
+	}
+
+	/** Closes connections that are idle or too slow. */
+	public void sweep() {
+		long now = this.clock.milliseconds();
+		for (CallerConnection caller : Set.copyOf(this.callers)) {
+			caller.checkTimeouts(now);
+		}
+		this.pool.closeIdle(now);
+	}
+
+	/**
+	 * Begins to drain: connections close after their current or next response.
+	 * @param done completes when all connections of callers are closed
+	 */
+	public void drain(CompletableFuture<Void> done) {
+		if (this.drained != null) {
+			this.drained.whenComplete((nothing, exception) -> done.complete(null));
+			return;
+		}
+		this.drained = done;
+		completeDrain();
+	}
+
+	/** Closes all connections at once. */
+	public void closeAll() {
+		for (CallerConnection caller : Set.copyOf(this.callers)) {
+			caller.breakTransfer();
+		}
+		this.pool.closeIdle();
+	}
+
+	private void completeDrain() {
+		if (this.drained != null && this.callers.isEmpty()) {
+			this.pool.closeIdle();
+			this.drained.complete(null);
+		}
+	}
+
+	boolean isDraining() {
+		return this.drained != null;
+	}
+
+	ProxyConfiguration configuration() {
+		return this.configuration;
+	}
+
+	MillisecondClock clock() {
+		return this.clock;
+	}
+
+	Supplier<@Nullable Manifest> manifests() {
+		return this.manifests;
+	}
+
+	EventLoop eventLoop() {
+		return this.eventLoop;
+	}
+
+	BackendPool pool() {
+		return this.pool;
+	}
+
+	RequestAdmission admission() {
+		return this.admission;
+	}
+
+	void emit(RequestEvent event) {
+		this.events.accept(event);
+	}
+
+	void add(CallerConnection caller) {
+		this.callers.add(caller);
+	}
+
+	void remove(CallerConnection caller) {
+		this.callers.remove(caller);
+		completeDrain();
+	}
+
+	boolean isFull() {
+		return this.callers.size() >= this.configuration.callerConnections();
+	}
+
+	void begin(RequestId id, Exchange exchange) {
+		this.exchanges.put(id, exchange);
+	}
+
+	void end(RequestId id) {
+		this.exchanges.remove(id);
+	}
+
+	/**
+	 * Reserves memory for a held request body.
+	 * @param bytes the number of bytes
+	 * @return whether there was room
+	 */
+	boolean reserve(int bytes) {
+		if (this.replayableBytes + bytes > this.configuration.limits().replayableBodies()) {
+			return false;
+		}
+		this.replayableBytes += bytes;
+		return true;
+	}
+
+	void unreserve(long bytes) {
+		this.replayableBytes -= bytes;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestAdmission.java
@@ -0,0 +1,142 @@
+package org.wigeonmast.proxy.internal;
+
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.CallerId;
+import org.wigeonmast.core.RequestId;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.Route;
+import org.wigeonmast.proxy.ProxyHeaders;
+
+/**
+ * Checks the head of a request and routes it.
+ * <p>
+ * Thread safety: none; the traffic thread owns it.
+ */
+final class RequestAdmission {
+
+	private final ProxyContext context;
+
+	private final RequestIds requestIds = new RequestIds();
+
+	RequestAdmission(ProxyContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Admits a request.
+	 * @param request the request, from which hop-by-hop fields are removed
+	 * @param peer the address of the peer
+	 * @return the head or why it is rejected
+	 */
+	Either<Rejection, AdmittedHead> admit(HttpRequest request, String peer) {
+		Rejection rejection = RequestHeadChecks.check(request, this.context.configuration().limits());
+		if (rejection != null) {
+			return Either.left(rejection);
+		}
+		Manifest manifest = this.context.manifests().get();
+		if (manifest == null) {
+			return Either.left(new Rejection(Problem.NOT_RUN, "No manifest is in force yet"));
+		}
+		Route route = manifest.route(request.method().name(), path(request.uri()));
+		if (route == null) {
+			return Either.left(new Rejection(Problem.NO_ROUTE, "No route matches " + request.method().name()));
+		}
+		return Either.right(head(request, peer, route));
+	}
+
+	/**
+	 * Returns the identifier that the caller sees.
+	 * @param request the request
+	 * @return the caller's own identifier if it is usable, otherwise {@code null}
+	 */
+	static @Nullable String declaredId(HttpRequest request) {
+		String declared = request.headers().get(ProxyHeaders.REQUEST_ID);
+		return (declared != null && RequestHeadChecks.isToken(declared)) ? declared : null;
+	}
+
+	/**
+	 * Generates an identifier for a request without a usable one.
+	 * @return the identifier
+	 */
+	RequestId nextId() {
+		return this.requestIds.next();
+	}
+
+	private AdmittedHead head(HttpRequest request, String peer, Route route) {
+		HttpHeaders headers = request.headers();
+		RequestId id = this.requestIds.next();
+		String declaredId = declaredId(request);
+		String shownId = (declaredId != null) ? declaredId : id.value();
+		String declaredCaller = headers.get(ProxyHeaders.CALLER_ID);
+		CallerId caller = new CallerId((declaredCaller != null) ? declaredCaller : peer);
+		String attempt = headers.get(ProxyHeaders.REQUEST_ATTEMPT);
+		boolean keepAlive = HttpUtil.isKeepAlive(request);
+		boolean expectsContinue = headers.contains(HttpHeaderNames.EXPECT);
+		long length = HttpUtil.isTransferEncodingChunked(request) ? AdmittedHead.UNKNOWN_LENGTH
+				: HttpUtil.getContentLength(request, 0L);
+		HopByHopHeaders.remove(headers);
+		headers.remove(HttpHeaderNames.EXPECT);
+		headers.set(ProxyHeaders.REQUEST_ID, shownId);
+		headers.set(ProxyHeaders.CALLER_ID, caller.value());
+		headers.add(HttpHeaderNames.VIA, "1.1 " + this.context.configuration().daemonName());
+		return new AdmittedHead(request, id, shownId, route, caller, deadline(headers, route),
+				headers.get(ProxyHeaders.IDEMPOTENCY_KEY), (attempt != null) ? Integer.parseInt(attempt) : 0, length,
+				keepAlive, expectsContinue);
+	}
+
+	private long deadline(HttpHeaders headers, Route route) {
+		String declared = headers.get(ProxyHeaders.REQUEST_TIMEOUT);
+		long timeout = (declared != null) ? Long.parseLong(declared) : route.timeout();
+		return this.context.clock().milliseconds()
+				+ Math.min(timeout, this.context.configuration().timeouts().request());
+	}
+
+	private static String path(String target) {
+		int query = target.indexOf('?');
+		return (query < 0) ? target : target.substring(0, query);
+	}
+
+	/**
+	 * Tells what is wrong with bytes that were not decoded.
+	 * @param result the result of the decoder
+	 * @return the rejection
+	 */
+	static Rejection undecodable(DecoderResult result) {
+		return undecodable(result.cause());
+	}
+
+	/**
+	 * Tells what is wrong with bytes that were not decoded.
+	 * @param cause the exception of the decoder
+	 * @return the rejection
+	 */
+	static Rejection undecodable(Throwable cause) {
+		if (cause instanceof TooLongHttpLineException) {
+			return new Rejection(Problem.LINE_TOO_LONG, "The request line exceeds the limit");
+		}
+		if (cause instanceof TooLongFrameException) {
+			return new Rejection(Problem.HEADERS_TOO_LARGE, "The header fields exceed the limit");
+		}
+		String message = cause.getMessage();
+		return new Rejection(Problem.MALFORMED, (message != null) ? message : "The message cannot be decoded");
+	}
+
+	/**
+	 * Returns whether a value is the only expectation that is served.
+	 * @param value the value of Expect
+	 * @return whether it is
+	 */
+	static boolean isServedExpectation(String value) {
+		return HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(value);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Connections, exchanges, attempts and the backend pool of the proxy; all owned by the
+ * traffic thread.
+ */
+@NullMarked
+package org.wigeonmast.proxy.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
@@ -0,0 +1,123 @@
+package org.wigeonmast.proxy;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.UnaryOperator;
+
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.MillisecondClock;
+import org.wigeonmast.core.RequestOutcome;
+import org.wigeonmast.dispatch.AttemptReport;
+import org.wigeonmast.dispatch.ConnectionRequirement;
+import org.wigeonmast.dispatch.ExchangeCommand;
+import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.manifest.BackendServer;
+
+/**
+ * Proxy with a dispatch that sends each request to one server and refuses it when the
+ * first attempt fails.
+ * <p>
+ * Thread safety: usable from any thread.
+ */
+final class TestProxy implements AutoCloseable {
+
+	private static final long ROUTE_TIMEOUT = 15_000;
+
+	private final MillisecondClock clock = MillisecondClock.system();
+
+	private final BlockingQueue<RequestEvent> events = new LinkedBlockingQueue<>();
+
+	private final ProxyServer server;
+
+	private final HostAddress address;
+
+	private volatile BackendServer backend;
+
+	private volatile ConnectionRequirement requirement = ConnectionRequirement.ANY;
+
+	TestProxy(BackendServer backend) throws ProxyStartException {
+		this(backend, UnaryOperator.identity());
+	}
+
+	TestProxy(BackendServer backend, UnaryOperator<ProxyConfiguration> change) throws ProxyStartException {
+		this.backend = backend;
+		ProxyConfiguration configuration = change.apply(ProxyConfiguration.defaults(new HostAddress("127.0.0.1", 0)));
+		this.server = new ProxyServer(configuration, this.clock, () -> new FakeManifest(ROUTE_TIMEOUT), this::handle);
+		this.address = this.server.start();
+	}
+
+	void setRequirement(ConnectionRequirement requirement) {
+		this.requirement = requirement;
+	}
+
+	void setBackend(BackendServer backend) {
+		this.backend = backend;
+	}
+
+	ProxyServer server() {
+		return this.server;
+	}
+
+	RawConnection connect() throws Exception {
+		return RawConnection.to(this.address);
+	}
+
+	/**
+	 * Returns the next event of a type; others are dropped.
+	 * @param type the type
+	 * @return the event
+	 */
+	<T extends RequestEvent> T next(Class<T> type) throws InterruptedException {
+		while (true) {
+			RequestEvent event = Awaiting.next(this.events);
+			if (type.isInstance(event)) {
+				return type.cast(event);
+			}
+		}
+	}
+
+	/**
+	 * Returns the next report of a type; other events are dropped.
+	 * @param type the type
+	 * @return the report
+	 */
+	<T extends AttemptReport> T nextReport(Class<T> type) throws InterruptedException {
+		while (true) {
+			AttemptReport report = next(RequestEvent.AttemptProgress.class).report();
+			if (type.isInstance(report)) {
+				return type.cast(report);
+			}
+		}
+	}
+
+	private void handle(RequestEvent event) {
+		this.events.add(event);
+		switch (event) {
+			case RequestEvent.Accepted accepted ->
+				this.server.execute(new ExchangeCommand.StartAttempt(accepted.request().id(), 1, this.backend,
+						this.requirement, accepted.request().deadline()));
+			case RequestEvent.AttemptProgress progress -> handle(progress);
+			case RequestEvent.CallerLeft left -> {
+			}
+		}
+	}
+
+	private void handle(RequestEvent.AttemptProgress progress) {
+		switch (progress.report()) {
+			case AttemptReport.ResponseStarted started ->
+				this.server.execute(new ExchangeCommand.Relay(progress.request(), progress.attempt()));
+			case AttemptReport.NothingSent nothing -> this.server.execute(
+					new ExchangeCommand.Refuse(progress.request(), new RequestOutcome.NotRun(nothing.reason(), 1500)));
+			case AttemptReport.Broken broken -> this.server
+				.execute(new ExchangeCommand.Refuse(progress.request(), new RequestOutcome.Unknown(broken.reason())));
+			case AttemptReport.Completed completed -> {
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+}
