--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchEffect.java
@@ -0,0 +1,92 @@
+package org.wigeonmast.dispatch;
+
+import java.util.List;
+
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.RequestId;
+import org.wigeonmast.core.RequestOutcome;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.health.Observation;
+
+/**
+ * An effect that a dispatch component asks its caller to carry out.
+ * <p>
+ * Thread safety: immutable.
+ */
+public sealed interface DispatchEffect {
+
+	/**
+	 * Passes a command to the proxy.
+	 *
+	 * @param command the command
+	 */
+	record Exchange(ExchangeCommand command) implements DispatchEffect {
+	}
+
+	/**
+	 * Sends a message to a daemon, which may be this one.
+	 *
+	 * @param receiver the receiver
+	 * @param message the message
+	 */
+	record Send(DaemonId receiver, DispatchMessage message) implements DispatchEffect {
+	}
+
+	/**
+	 * Passes evidence to the health component.
+	 *
+	 * @param observation the evidence
+	 */
+	record Observed(Observation observation) implements DispatchEffect {
+	}
+
+	/**
+	 * Passes an owner's judgement about servers to the health component, which applies
+	 * the local floor guard and answers with {@link CoordinatorInput.HealthChanged}.
+	 *
+	 * @param owner the owner
+	 * @param service the service
+	 * @param servers the judgement
+	 */
+	record Advised(DaemonId owner, ServiceName service,
+			List<DispatchMessage.AdvisedServer> servers) implements DispatchEffect {
+	}
+
+	/**
+	 * Passes on that a backend server stated that it is leaving.
+	 *
+	 * @param service the service
+	 * @param server the backend server
+	 */
+	record LeavingSeen(ServiceName service, BackendServerId server) implements DispatchEffect {
+	}
+
+	/**
+	 * Reports the end of a request, once for each request.
+	 *
+	 * @param request the request
+	 * @param outcome how it ended
+	 */
+	record Ended(RequestId request, RequestOutcome outcome) implements DispatchEffect {
+	}
+
+	/**
+	 * Adds an entry to the audit trail.
+	 *
+	 * @param entry the entry
+	 */
+	record Audit(AuditEntry entry) implements DispatchEffect {
+	}
+
+	/**
+	 * Logs an event.
+	 *
+	 * @param event the event
+	 * @param parameters the values for the event's text
+	 */
+	record Logged(DispatchEvent event, List<Object> parameters) implements DispatchEffect {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchEvent.java
@@ -0,0 +1,68 @@
+package org.wigeonmast.dispatch;
+
+import org.apache.logging.log4j.Level;
+import org.wigeonmast.core.EventDefinition;
+
+/**
+ * Log events of dispatch, numbers 500 to 599.
+ * <p>
+ * Thread safety: immutable.
+ */
+public enum DispatchEvent implements EventDefinition {
+
+	/** Requests were refused. */
+	REQUESTS_REFUSED(500, Level.WARN, "refused {} requests for {}: {}",
+			"Check the load and the health of the service's backend servers; refused requests were not run."),
+
+	/** An owner did not reply. */
+	OWNER_SILENT(501, Level.WARN, "owner {} of {} did not reply within {} ms",
+			"Nothing to do unless it repeats for minutes; then check the link between the two daemons."),
+
+	/** The dispatch mode changed. */
+	MODE_CHANGED(502, Level.INFO, "dispatch of {} changed to {} at utilization {}",
+			"Nothing to do; short work waits for grants while the service is busy."),
+
+	/** The proxy did not report the end of an attempt. */
+	REPORT_MISSING(503, Level.ERROR, "attempt {} of request {} at {} had no report {} ms after its deadline",
+			"Report a fault of the proxy; the request was answered as unknown."),
+
+	/** A register could not vouch for keys. */
+	REGISTER_INCOMPLETE(504, Level.WARN, "the register of {} cannot vouch for keys older than {} ms",
+			"Nothing to do; repeats with older keys are refused as unknown until the key lifetime has passed.");
+
+	private final int number;
+
+	private final Level level;
+
+	private final String text;
+
+	private final String advice;
+
+	DispatchEvent(int number, Level level, String text, String advice) {
+		this.number = number;
+		this.level = level;
+		this.text = text;
+		this.advice = advice;
+	}
+
+	@Override
+	public int number() {
+		return this.number;
+	}
+
+	@Override
+	public Level level() {
+		return this.level;
+	}
+
+	@Override
+	public String text() {
+		return this.text;
+	}
+
+	@Override
+	public String advice() {
+		return this.advice;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchMessage.java
@@ -0,0 +1,249 @@
+package org.wigeonmast.dispatch;
+
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.CallerId;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.health.ServerHealth;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * A message between daemons about slots, queues and request keys.
+ * <p>
+ * Thread safety: immutable. All times are durations in milliseconds, because daemons
+ * share no clock. A ticket is unique for one start of the entry daemon that issued it and
+ * rises with each acquisition.
+ */
+public sealed interface DispatchMessage {
+
+	/**
+	 * Asks the owner for a slot; repeats with the same ticket are answered again.
+	 *
+	 * @param ticket the ticket
+	 * @param service the service
+	 * @param workClass the class of work
+	 * @param caller the caller, for fairness
+	 * @param remaining the time until the request's deadline
+	 * @param idempotent whether the request may run more than once
+	 * @param spilled whether the request comes from another region
+	 * @param excluded backend servers that were tried already
+	 */
+	record SlotRequest(long ticket, ServiceName service, WorkClass workClass, CallerId caller, long remaining,
+			boolean idempotent, boolean spilled, List<BackendServerId> excluded) implements DispatchMessage {
+
+		public SlotRequest {
+			excluded = List.copyOf(excluded);
+		}
+
+	}
+
+	/**
+	 * Confirms that a request waits in the owner's queue.
+	 *
+	 * @param ticket the ticket
+	 * @param expectedWait the expected time until the grant
+	 */
+	record SlotQueued(long ticket, long expectedWait) implements DispatchMessage {
+	}
+
+	/**
+	 * Grants a slot.
+	 *
+	 * @param service the service
+	 * @param ticket the ticket
+	 * @param server the backend server
+	 * @param lease the time after which the owner takes the slot back
+	 */
+	record SlotGrant(ServiceName service, long ticket, BackendServerId server, long lease) implements DispatchMessage {
+	}
+
+	/**
+	 * Refuses a slot.
+	 *
+	 * @param ticket the ticket
+	 * @param reason the reason
+	 * @param retryAfter the advised wait, 0 for none
+	 */
+	record SlotRefusal(long ticket, RefusalReason reason, long retryAfter) implements DispatchMessage {
+	}
+
+	/**
+	 * Withdraws a request for a slot, or returns the slot unused if it was granted.
+	 *
+	 * @param service the service
+	 * @param ticket the ticket
+	 */
+	record SlotCancel(ServiceName service, long ticket) implements DispatchMessage {
+	}
+
+	/**
+	 * Returns a slot.
+	 *
+	 * @param service the service
+	 * @param ticket the ticket
+	 * @param outcome how the attempt ended
+	 */
+	record SlotRelease(ServiceName service, long ticket, AttemptOutcome outcome) implements DispatchMessage {
+	}
+
+	/**
+	 * Reports attempts that ended without a grant, and everything that the sender still
+	 * holds or waits for.
+	 *
+	 * @param service the service
+	 * @param outcomes attempts that ended since the last report
+	 * @param held attempts in flight
+	 * @param waiting tickets that wait for a grant
+	 * @param watermark the lowest ticket not yet issued; lower tickets that are in
+	 * neither list will never be used again
+	 */
+	record OutcomeReport(ServiceName service, List<AttemptOutcome> outcomes, List<HeldSlot> held, List<Long> waiting,
+			long watermark) implements DispatchMessage {
+
+		public OutcomeReport {
+			outcomes = List.copyOf(outcomes);
+			held = List.copyOf(held);
+			waiting = List.copyOf(waiting);
+		}
+
+	}
+
+	/**
+	 * Advises entry daemons how to dispatch.
+	 *
+	 * @param service the service
+	 * @param mode the mode for short work
+	 * @param servers the owner's judgement about the region's servers
+	 */
+	record DispatchAdvice(ServiceName service, DispatchMode mode,
+			List<AdvisedServer> servers) implements DispatchMessage {
+
+		public DispatchAdvice {
+			servers = List.copyOf(servers);
+		}
+
+	}
+
+	/**
+	 * Asks the owner to admit a key, so that the request may run.
+	 *
+	 * @param query the number of the query, unique for one start of the sender
+	 * @param service the service
+	 * @param key the key
+	 * @param attempt the attempt that the caller declared, 0 if none
+	 * @param age the greatest possible age of the key
+	 */
+	record KeyRegistration(long query, ServiceName service, String key, int attempt,
+			long age) implements DispatchMessage {
+	}
+
+	/**
+	 * Asks the owner in another region whether it has seen a key; the key counts as seen
+	 * there from then on.
+	 *
+	 * @param query the number of the query, unique for one start of the sender
+	 * @param service the service
+	 * @param key the key
+	 * @param age the greatest possible age of the key
+	 */
+	record KeyQuery(long query, ServiceName service, String key, long age) implements DispatchMessage {
+	}
+
+	/**
+	 * Answers a registration or a query.
+	 *
+	 * @param query the number of the query
+	 * @param verdict the verdict
+	 * @param outcome the outcome of the first request with
+	 * {@link KeyVerdict.Verdict#SEEN}, if it is known
+	 */
+	record KeyVerdict(long query, Verdict verdict, @Nullable KeyResult outcome) implements DispatchMessage {
+
+		/** What the owner can vouch for. */
+		public enum Verdict {
+
+			/** The key was not seen since before it was made; the request may run. */
+			FIRST,
+
+			/** The key was seen. */
+			SEEN,
+
+			/** The register does not reach back far enough, or is not kept here. */
+			CANNOT_VOUCH
+
+		}
+
+	}
+
+	/**
+	 * Tells the owner how the request with a key ended.
+	 *
+	 * @param service the service
+	 * @param key the key
+	 * @param outcome the outcome
+	 */
+	record KeyOutcome(ServiceName service, String key, KeyResult outcome) implements DispatchMessage {
+	}
+
+	/**
+	 * Hands a part of a register to the next owner.
+	 *
+	 * @param service the service
+	 * @param keys the keys
+	 * @param keptSince the time since which the register is complete
+	 * @param part the number of this part, from 1
+	 * @param parts the number of parts
+	 */
+	record RegisterTransfer(ServiceName service, List<RegisteredKey> keys, long keptSince, int part,
+			int parts) implements DispatchMessage {
+
+		public RegisterTransfer {
+			keys = List.copyOf(keys);
+		}
+
+	}
+
+	/**
+	 * How an attempt ended.
+	 *
+	 * @param server the backend server
+	 * @param workClass the class of work
+	 * @param result the result
+	 * @param duration the time from sending to the end
+	 */
+	record AttemptOutcome(BackendServerId server, WorkClass workClass, AttemptResult result, long duration) {
+	}
+
+	/**
+	 * An attempt in flight.
+	 *
+	 * @param ticket the ticket
+	 * @param server the backend server
+	 * @param workClass the class of work
+	 * @param remaining the time until its deadline
+	 */
+	record HeldSlot(long ticket, BackendServerId server, WorkClass workClass, long remaining) {
+	}
+
+	/**
+	 * The owner's judgement about a server.
+	 *
+	 * @param health the judgement
+	 * @param lease the time for which an ejection may be followed, 0 for other states
+	 */
+	record AdvisedServer(ServerHealth health, long lease) {
+	}
+
+	/**
+	 * A key in a register.
+	 *
+	 * @param key the key
+	 * @param age the time since it was registered
+	 * @param outcome the outcome, or {@code null} while it is unknown
+	 */
+	record RegisteredKey(String key, long age, @Nullable KeyResult outcome) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/RequestCoordinator.java
@@ -0,0 +1,339 @@
+package org.wigeonmast.dispatch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.RequestId;
+import org.wigeonmast.core.RequestOutcome;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.core.Step;
+import org.wigeonmast.dispatch.internal.ActiveRequest;
+import org.wigeonmast.dispatch.internal.EffectBuffer;
+import org.wigeonmast.dispatch.internal.RefusalSummary;
+import org.wigeonmast.dispatch.internal.RegionView;
+import org.wigeonmast.dispatch.internal.ServiceView;
+import org.wigeonmast.dispatch.internal.SlotClient;
+
+/**
+ * Decides the life of each request that this daemon accepted, from routing to its end.
+ * <p>
+ * Thread safety: none; the control thread owns it. Invariants: each accepted request ends
+ * exactly once as answered, not run or unknown; it ends as not run only if no byte of it
+ * was sent or each server that received it stated that it did not run it; a
+ * non-idempotent request is sent to a second server only under that same condition.
+ * <p>
+ * Wiring: the daemon creates one coordinator and passes every input on the control
+ * thread. {@link CoordinatorInput.ServiceChanged} comes for each service of each accepted
+ * manifest, {@link CoordinatorInput.OwnersChanged} after each change of membership for
+ * each service and region, {@link CoordinatorInput.HealthChanged} after each change of
+ * the local health view, {@link CoordinatorInput.Received} for each dispatch message that
+ * the input lists. Without owners all work is dispatched directly. After each call the
+ * daemon carries out the effects in order: {@link DispatchEffect.Exchange} goes to the
+ * proxy, {@link DispatchEffect.Send} to the link or, if this daemon is the receiver, back
+ * to its own components as received, {@link DispatchEffect.Observed} to the local health
+ * component as evidence of this daemon only (owners pool the evidence that they receive
+ * in reports), {@link DispatchEffect.Audit}, {@link DispatchEffect.Logged} and
+ * {@link DispatchEffect.Ended} to audit trail, log and metrics. It calls
+ * {@link #tick(long)} at {@link #nextTick()}.
+ */
+public final class RequestCoordinator implements Component<CoordinatorInput, DispatchEffect> {
+
+	/** The greatest number of attempts for one request. */
+	public static final int MOST_ATTEMPTS = 3;
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private static final String TIMED_OUT = "the deadline passed after the request was sent";
+
+	private static final String SENT = "the request was sent and no complete answer was received";
+
+	private final EffectBuffer effects = new EffectBuffer();
+
+	private final Map<ServiceName, ServiceView> services = new HashMap<>();
+
+	private final Map<RequestId, ActiveRequest> requests = new HashMap<>();
+
+	private final Region home;
+
+	private final SlotClient slots;
+
+	private final RefusalSummary refusals;
+
+	/**
+	 * Creates a coordinator.
+	 * @param self this daemon
+	 * @param home the region of this daemon
+	 * @param random the random numbers for the choice of servers
+	 */
+	public RequestCoordinator(DaemonId self, Region home, RandomGenerator random) {
+		this.home = home;
+		this.slots = new SlotClient(self, home, random, this.effects, this::refuse);
+		this.refusals = new RefusalSummary(self);
+	}
+
+	@Override
+	public List<DispatchEffect> handle(long now, CoordinatorInput input) {
+		switch (input) {
+			case CoordinatorInput.Proxied proxied -> proxied(now, proxied.event());
+			case CoordinatorInput.Received received -> received(now, received.sender(), received.message());
+			case CoordinatorInput.ServiceChanged changed -> serviceChanged(changed);
+			case CoordinatorInput.ServiceRemoved removed -> this.services.remove(removed.service());
+			case CoordinatorInput.HealthChanged changed -> {
+				ServiceView view = this.services.get(changed.service());
+				if (view != null) {
+					view.setHealth(changed.servers());
+				}
+			}
+			case CoordinatorInput.OwnersChanged changed -> {
+				ServiceView view = this.services.get(changed.service());
+				if (view != null) {
+					this.slots.ownersChanged(now, view.region(changed.region()), changed.owners(), view);
+				}
+			}
+		}
+		return this.effects.drain();
+	}
+
+	@Override
+	public List<DispatchEffect> tick(long now) {
+		this.slots.tick(now, this::overdue);
+		return this.effects.drain();
+	}
+
+	@Override
+	public long nextTick() {
+		return this.slots.nextTick();
+	}
+
+	/**
+	 * Returns the number of requests that have not ended.
+	 * @return the number
+	 */
+	public int active() {
+		return this.requests.size();
+	}
+
+	private void serviceChanged(CoordinatorInput.ServiceChanged changed) {
+		ServiceView view = this.services.get(changed.service().name());
+		if (view != null) {
+			view.setService(changed.service());
+		}
+		else {
+			this.services.put(changed.service().name(), new ServiceView(changed.service()));
+		}
+	}
+
+	private void proxied(long now, RequestEvent event) {
+		switch (event) {
+			case RequestEvent.Accepted accepted -> accepted(now, accepted.request());
+			case RequestEvent.AttemptProgress progress -> {
+				ActiveRequest request = this.requests.get(progress.request());
+				if (request != null && request.state == ActiveRequest.State.ATTEMPTING
+						&& request.attempt == progress.attempt()) {
+					progress(now, request, progress.report());
+				}
+			}
+			case RequestEvent.CallerLeft left -> {
+				ActiveRequest request = this.requests.get(left.request());
+				if (request != null) {
+					callerLeft(now, request);
+				}
+			}
+		}
+	}
+
+	private void received(long now, DaemonId sender, DispatchMessage message) {
+		switch (message) {
+			case DispatchMessage.SlotGrant grant -> this.slots.granted(now, sender, grant);
+			case DispatchMessage.SlotQueued queued -> this.slots.queued(now, sender, queued);
+			case DispatchMessage.SlotRefusal refusal -> this.slots.refused(now, sender, refusal);
+			case DispatchMessage.DispatchAdvice advice -> advised(now, sender, advice);
+			default -> {
+				// Messages to the owner side are none of this component's.
+			}
+		}
+	}
+
+	private void advised(long now, DaemonId sender, DispatchMessage.DispatchAdvice advice) {
+		ServiceView service = this.services.get(advice.service());
+		if (service == null) {
+			return;
+		}
+		RegionView view = service.region(this.home);
+		if (sender.equals(view.owner(now, 0))) {
+			view.setMode(advice.mode());
+			this.effects.add(new DispatchEffect.Advised(sender, advice.service(), advice.servers()));
+		}
+	}
+
+	private void accepted(long now, RequestDescription description) {
+		if (this.requests.containsKey(description.id())) {
+			return;
+		}
+		ActiveRequest request = new ActiveRequest(description);
+		this.requests.put(description.id(), request);
+		dispatch(now, request);
+	}
+
+	private void dispatch(long now, ActiveRequest request) {
+		ServiceView service = this.services.get(request.description.service());
+		if (service == null) {
+			refuse(now, request, Step.ROUTE, RefusalReason.UNKNOWN_SERVICE, 0);
+		}
+		else {
+			this.slots.dispatch(now, request, service);
+		}
+	}
+
+	private void progress(long now, ActiveRequest request, AttemptReport report) {
+		switch (report) {
+			case AttemptReport.NothingSent nothing -> {
+				this.slots.finish(now, request, AttemptResult.CONNECTION_FAILED);
+				retryOr(now, request, RefusalReason.ATTEMPTS_FAILED);
+			}
+			case AttemptReport.ResponseStarted started -> responseStarted(now, request, started);
+			case AttemptReport.Completed completed -> completed(now, request, completed.status());
+			case AttemptReport.Broken broken -> broken(now, request, broken);
+		}
+	}
+
+	private void responseStarted(long now, ActiveRequest request, AttemptReport.ResponseStarted started) {
+		ServiceView service = this.services.get(request.description.service());
+		if (started.leaving() && request.server != null && request.view != null) {
+			request.view.selector().markLeaving(request.server.id());
+			this.effects.add(new DispatchEffect.LeavingSeen(request.description.service(), request.server.id()));
+		}
+		if (request.relaying) {
+			return;
+		}
+		if (started.notRun() && started.status() == SERVICE_UNAVAILABLE) {
+			abort(now, request, AttemptResult.SHED);
+			request.needsGrant = true;
+			if (request.description.replayable() && mayRetry(request, service)) {
+				dispatch(now, request);
+			}
+			else {
+				refuse(now, request, Step.AWAIT_RESPONSE, RefusalReason.ATTEMPTS_FAILED, 0);
+			}
+		}
+		else if (started.status() >= SERVER_ERROR && errorRetried(request, service)) {
+			request.possiblyRun = true;
+			abort(now, request, AttemptResult.FAILED);
+			dispatch(now, request);
+		}
+		else {
+			request.relaying = true;
+			request.possiblyRun = true;
+			this.effects.exchange(new ExchangeCommand.Relay(request.id(), request.attempt));
+		}
+	}
+
+	// An error answer is discarded once at most, and only while another server is free.
+	private boolean errorRetried(ActiveRequest request, @Nullable ServiceView service) {
+		if (!request.repeatable() || request.errorRetried || request.view == null
+				|| !request.view.selector().hasOther(request.excluded) || !mayRetry(request, service)) {
+			return false;
+		}
+		request.errorRetried = true;
+		return true;
+	}
+
+	private void completed(long now, ActiveRequest request, int status) {
+		ServiceView service = this.services.get(request.description.service());
+		if (status < SERVER_ERROR && service != null) {
+			service.budget().succeeded();
+		}
+		request.possiblyRun = true;
+		this.slots.finish(now, request, (status >= SERVER_ERROR) ? AttemptResult.FAILED : AttemptResult.SUCCEEDED);
+		end(request, new RequestOutcome.Answered(status));
+	}
+
+	private void broken(long now, ActiveRequest request, AttemptReport.Broken broken) {
+		request.possiblyRun = true;
+		this.slots.finish(now, request, broken.timedOut() ? AttemptResult.TIMED_OUT : AttemptResult.CONNECTION_FAILED);
+		if (broken.responseStarted()) {
+			end(request, new RequestOutcome.Unknown(broken.reason()));
+			return;
+		}
+		boolean expired = request.remaining(now) == 0;
+		ServiceView service = this.services.get(request.description.service());
+		if (!expired && request.repeatable() && mayRetry(request, service)) {
+			dispatch(now, request);
+		}
+		else {
+			refuseUnknown(request, (broken.timedOut() || expired) ? TIMED_OUT : SENT);
+		}
+	}
+
+	private void retryOr(long now, ActiveRequest request, RefusalReason reason) {
+		if (request.attempt < MOST_ATTEMPTS) {
+			dispatch(now, request);
+		}
+		else {
+			refuse(now, request, Step.CONNECT, reason, 0);
+		}
+	}
+
+	private boolean mayRetry(ActiveRequest request, @Nullable ServiceView service) {
+		return request.attempt < MOST_ATTEMPTS && service != null && service.budget().take();
+	}
+
+	private void abort(long now, ActiveRequest request, AttemptResult result) {
+		this.effects.exchange(new ExchangeCommand.Abort(request.id(), request.attempt));
+		this.slots.finish(now, request, result);
+	}
+
+	private void overdue(long now, ActiveRequest request) {
+		if (request.relaying) {
+			return;
+		}
+		String server = (request.server != null) ? request.server.id().toString() : "";
+		this.effects.log(DispatchEvent.REPORT_MISSING, request.attempt, request.id(), server, SlotClient.REPORT_GRACE);
+		request.possiblyRun = true;
+		abort(now, request, AttemptResult.TIMED_OUT);
+		refuseUnknown(request, TIMED_OUT);
+	}
+
+	private void callerLeft(long now, ActiveRequest request) {
+		if (request.state == ActiveRequest.State.ATTEMPTING) {
+			request.possiblyRun = true;
+			abort(now, request, AttemptResult.ABANDONED);
+		}
+		else if (request.state == ActiveRequest.State.ACQUIRING) {
+			this.slots.withdraw(request);
+		}
+		end(request, request.possiblyRun ? new RequestOutcome.Unknown(SENT)
+				: new RequestOutcome.NotRun(RefusalReason.CALLER_LEFT.text(), 0));
+	}
+
+	private void refuse(long now, ActiveRequest request, Step step, RefusalReason reason, long retryAfter) {
+		if (request.possiblyRun) {
+			refuseUnknown(request, (request.remaining(now) == 0) ? TIMED_OUT : SENT);
+			return;
+		}
+		RequestOutcome outcome = new RequestOutcome.NotRun(reason.text(), retryAfter);
+		this.refusals.refused(now, request.description.service(), step, reason.text(), this.effects);
+		this.effects.exchange(new ExchangeCommand.Refuse(request.id(), outcome));
+		end(request, outcome);
+	}
+
+	private void refuseUnknown(ActiveRequest request, String reason) {
+		RequestOutcome outcome = new RequestOutcome.Unknown(reason);
+		this.effects.exchange(new ExchangeCommand.Refuse(request.id(), outcome));
+		end(request, outcome);
+	}
+
+	private void end(ActiveRequest request, RequestOutcome outcome) {
+		this.requests.remove(request.id());
+		this.effects.add(new DispatchEffect.Ended(request.id(), outcome));
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/RefusalSummary.java
@@ -0,0 +1,77 @@
+package org.wigeonmast.dispatch.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.AuditKind;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.core.Step;
+import org.wigeonmast.dispatch.DispatchEffect;
+import org.wigeonmast.dispatch.DispatchEvent;
+
+/**
+ * Records refusals in the audit trail and the log, at most once a second for each service
+ * and reason, because an overload refuses thousands of requests a second.
+ * <p>
+ * Thread safety: none. Invariant: the counts of all records add up to the number of
+ * refusals, except for those after the last record.
+ */
+public final class RefusalSummary {
+
+	private static final long INTERVAL = 1000;
+
+	private final DaemonId self;
+
+	private final Map<Subject, Count> counts = new HashMap<>();
+
+	/**
+	 * Creates a summary.
+	 * @param self this daemon
+	 */
+	public RefusalSummary(DaemonId self) {
+		this.self = self;
+	}
+
+	/**
+	 * Counts a refusal and records it if the last record is old enough.
+	 * @param now the monotonic time in milliseconds
+	 * @param service the service
+	 * @param step the step at which the request was refused
+	 * @param reason the reason
+	 * @param effects takes the record
+	 */
+	public void refused(long now, ServiceName service, Step step, String reason, EffectBuffer effects) {
+		Count count = this.counts.computeIfAbsent(new Subject(service, reason), (subject) -> new Count(now - INTERVAL));
+		count.pending++;
+		if (now - count.recordedAt < INTERVAL) {
+			return;
+		}
+		Map<String, String> evidence = new TreeMap<>();
+		evidence.put("reason", reason);
+		evidence.put("requests", Long.toString(count.pending));
+		effects.add(new DispatchEffect.Audit(
+				new AuditEntry(now, AuditKind.REFUSED, service.value(), step, this.self.toString(), evidence)));
+		effects.log(DispatchEvent.REQUESTS_REFUSED, count.pending, service, reason);
+		count.pending = 0;
+		count.recordedAt = now;
+	}
+
+	private record Subject(ServiceName service, String reason) {
+	}
+
+	private static final class Count {
+
+		private long recordedAt;
+
+		private long pending;
+
+		private Count(long recordedAt) {
+			this.recordedAt = recordedAt;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/RegionView.java
@@ -0,0 +1,210 @@
+package org.wigeonmast.dispatch.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.dispatch.DispatchMessage.AttemptOutcome;
+import org.wigeonmast.dispatch.DispatchMessage.HeldSlot;
+import org.wigeonmast.dispatch.DispatchMessage.OutcomeReport;
+import org.wigeonmast.dispatch.DispatchMode;
+
+/**
+ * What an entry daemon knows of one service in one region: servers, owners, mode and its
+ * own tickets there.
+ * <p>
+ * Thread safety: none. Invariant: every ticket that is held or waits at an owner of this
+ * region is in {@link #tickets()}.
+ */
+public final class RegionView {
+
+	/** The number of owners that are asked, in rank order. */
+	public static final int OWNERS_TO_ASK = 2;
+
+	private static final int MOST_OUTCOMES = 1000;
+
+	private static final long SILENCE = 1000;
+
+	private final ServiceName service;
+
+	private final Region region;
+
+	private final ServerSelector selector = new ServerSelector();
+
+	private final Map<Long, ActiveRequest> tickets = new LinkedHashMap<>();
+
+	private final Map<DaemonId, Long> silentUntil = new HashMap<>();
+
+	private List<DaemonId> owners = List.of();
+
+	private List<AttemptOutcome> outcomes = new ArrayList<>();
+
+	private DispatchMode mode = DispatchMode.DIRECT;
+
+	private long reportAt = Component.NO_TIMER;
+
+	/**
+	 * Creates a view.
+	 * @param service the service
+	 * @param region the region
+	 */
+	public RegionView(ServiceName service, Region region) {
+		this.service = service;
+		this.region = region;
+	}
+
+	/**
+	 * Returns the service.
+	 * @return the service
+	 */
+	public ServiceName service() {
+		return this.service;
+	}
+
+	/**
+	 * Returns the region.
+	 * @return the region
+	 */
+	public Region region() {
+		return this.region;
+	}
+
+	/**
+	 * Returns the servers of the region.
+	 * @return the servers
+	 */
+	public ServerSelector selector() {
+		return this.selector;
+	}
+
+	/**
+	 * Returns the requests by ticket.
+	 * @return the requests, in the order of their tickets
+	 */
+	public Map<Long, ActiveRequest> tickets() {
+		return this.tickets;
+	}
+
+	/**
+	 * Returns the mode.
+	 * @return the mode
+	 */
+	public DispatchMode mode() {
+		return this.mode;
+	}
+
+	/**
+	 * Sets the mode on the owner's advice.
+	 * @param mode the mode
+	 */
+	public void setMode(DispatchMode mode) {
+		this.mode = mode;
+	}
+
+	/**
+	 * Sets the owners.
+	 * @param owners the live daemons in rank order
+	 */
+	public void setOwners(List<DaemonId> owners) {
+		this.owners = owners;
+		this.silentUntil.keySet().retainAll(owners);
+	}
+
+	/**
+	 * Returns the owners in rank order.
+	 * @return the owners
+	 */
+	public List<DaemonId> owners() {
+		return this.owners;
+	}
+
+	/**
+	 * Returns the owner to ask.
+	 * @param now the monotonic time in milliseconds
+	 * @param asked the number of owners that were asked already for the same slot
+	 * @return the first in rank that is not silent, or {@code null} if there is none
+	 */
+	public @Nullable DaemonId owner(long now, int asked) {
+		for (int rank = asked; rank < Math.min(OWNERS_TO_ASK, this.owners.size()); rank++) {
+			DaemonId owner = this.owners.get(rank);
+			if (this.silentUntil.getOrDefault(owner, now) <= now) {
+				return owner;
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Notes that an owner did not reply, so that others are asked for a while.
+	 * @param now the monotonic time in milliseconds
+	 * @param owner the owner
+	 */
+	public void markSilent(long now, DaemonId owner) {
+		this.silentUntil.put(owner, now + SILENCE);
+	}
+
+	/**
+	 * Notes that an owner replied.
+	 * @param owner the owner
+	 */
+	public void markReplied(DaemonId owner) {
+		this.silentUntil.remove(owner);
+	}
+
+	/**
+	 * Adds an outcome to the next report.
+	 * @param outcome the outcome
+	 */
+	public void addOutcome(AttemptOutcome outcome) {
+		if (this.outcomes.size() < MOST_OUTCOMES) {
+			this.outcomes.add(outcome);
+		}
+	}
+
+	/**
+	 * Returns when the next report is due.
+	 * @return the monotonic time in milliseconds, or {@link Component#NO_TIMER}
+	 */
+	public long reportAt() {
+		return this.reportAt;
+	}
+
+	/**
+	 * Sets when the next report is due.
+	 * @param reportAt the monotonic time in milliseconds, or {@link Component#NO_TIMER}
+	 */
+	public void setReportAt(long reportAt) {
+		this.reportAt = reportAt;
+	}
+
+	/**
+	 * Builds a report and forgets the outcomes that it contains.
+	 * @param now the monotonic time in milliseconds
+	 * @param watermark the lowest ticket not yet issued
+	 * @return the report
+	 */
+	public OutcomeReport report(long now, long watermark) {
+		List<HeldSlot> held = new ArrayList<>();
+		List<Long> waiting = new ArrayList<>();
+		this.tickets.forEach((ticket, request) -> {
+			HeldSlot slot = request.heldSlot(now);
+			if (slot != null) {
+				held.add(slot);
+			}
+			else {
+				waiting.add(ticket);
+			}
+		});
+		OutcomeReport report = new OutcomeReport(this.service, this.outcomes, held, waiting, watermark);
+		this.outcomes = new ArrayList<>();
+		return report;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/ServerSelector.java
@@ -0,0 +1,181 @@
+package org.wigeonmast.dispatch.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.health.ServerHealth;
+import org.wigeonmast.manifest.BackendServer;
+
+/**
+ * Chooses a backend server by two random choices on the number of attempts that this
+ * daemon has in flight there.
+ * <p>
+ * Thread safety: none. Invariant: a server that is leaving, dead or ejected is never
+ * chosen.
+ */
+public final class ServerSelector {
+
+	private Map<BackendServerId, Candidate> candidates = new LinkedHashMap<>();
+
+	/**
+	 * Replaces the servers; numbers in flight and health of remaining servers are kept.
+	 * @param servers the servers
+	 */
+	public void setServers(Collection<BackendServer> servers) {
+		Map<BackendServerId, Candidate> next = new LinkedHashMap<>();
+		for (BackendServer server : servers) {
+			Candidate candidate = this.candidates.getOrDefault(server.id(), new Candidate());
+			candidate.server = server;
+			next.put(server.id(), candidate);
+		}
+		this.candidates = next;
+	}
+
+	/**
+	 * Replaces the health of all servers.
+	 * @param health the judgement; servers without one are in service
+	 */
+	public void setHealth(Map<BackendServerId, ServerHealth> health) {
+		this.candidates.forEach((id, candidate) -> candidate.health = health.get(id));
+	}
+
+	/**
+	 * Returns a server that may get work at all.
+	 * @param id the identifier
+	 * @return the server, or {@code null} if it is unknown, leaving, dead or ejected
+	 */
+	public @Nullable BackendServer usable(BackendServerId id) {
+		Candidate candidate = this.candidates.get(id);
+		return (candidate != null && candidate.usable()) ? candidate.server : null;
+	}
+
+	/**
+	 * Returns whether a server that was not tried can take an attempt at once.
+	 * @param excluded servers that were tried already
+	 * @return whether there is one
+	 */
+	public boolean hasOther(Set<BackendServerId> excluded) {
+		return this.candidates.values()
+			.stream()
+			.anyMatch((candidate) -> candidate.usable() && !candidate.lastChoice()
+					&& !excluded.contains(candidate.server.id()) && candidate.inFlight < candidate.server.slots());
+	}
+
+	/**
+	 * Marks a server as leaving until its health is replaced.
+	 * @param id the identifier
+	 */
+	public void markLeaving(BackendServerId id) {
+		Candidate candidate = this.candidates.get(id);
+		if (candidate != null) {
+			candidate.health = new ServerHealth(id, ServerHealth.State.LEAVING, 0);
+		}
+	}
+
+	/**
+	 * Counts an attempt that starts or ends.
+	 * @param id the server
+	 * @param change 1 or -1
+	 */
+	public void count(BackendServerId id, int change) {
+		Candidate candidate = this.candidates.get(id);
+		if (candidate != null) {
+			candidate.inFlight = Math.max(0, candidate.inFlight + change);
+		}
+	}
+
+	/**
+	 * Chooses a server for an attempt.
+	 * @param idempotent whether the request may run more than once, as trials need
+	 * @param excluded servers that were tried already
+	 * @param limit the number of attempts in flight per slot at which a server is passed
+	 * over
+	 * @param random the random numbers
+	 * @return the server, or {@code null} if there is none
+	 */
+	public @Nullable BackendServer choose(boolean idempotent, Set<BackendServerId> excluded, int limit,
+			RandomGenerator random) {
+		List<Candidate> preferred = new ArrayList<>();
+		List<Candidate> lastChoice = new ArrayList<>();
+		for (Candidate candidate : this.candidates.values()) {
+			if (!candidate.usable() || excluded.contains(candidate.server.id())
+					|| candidate.inFlight >= limit * candidate.server.slots()) {
+				continue;
+			}
+			if (candidate.lastChoice()) {
+				lastChoice.add(candidate);
+			}
+			else if (!candidate.trial() || (idempotent && candidate.inFlight == 0)) {
+				preferred.add(candidate);
+			}
+		}
+		List<Candidate> choice = preferred.isEmpty() ? lastChoice : preferred;
+		if (choice.isEmpty()) {
+			return null;
+		}
+		Candidate first = pick(choice, random);
+		Candidate second = pick(choice, random);
+		return (second.load() < first.load()) ? second.server : first.server;
+	}
+
+	private static Candidate pick(List<Candidate> choice, RandomGenerator random) {
+		double total = 0;
+		for (Candidate candidate : choice) {
+			total += candidate.share();
+		}
+		double point = random.nextDouble() * total;
+		for (Candidate candidate : choice) {
+			point -= candidate.share();
+			if (point < 0) {
+				return candidate;
+			}
+		}
+		return choice.getLast();
+	}
+
+	@SuppressWarnings("NullAway.Init")
+	private static final class Candidate {
+
+		private static final double LEAST_WEIGHT = 0.01;
+
+		private BackendServer server;
+
+		private @Nullable ServerHealth health;
+
+		private int inFlight;
+
+		private boolean usable() {
+			return this.health == null || switch (this.health.state()) {
+				case SERVING, AVOIDED, TRIAL, RAMPING -> true;
+				case EJECTED, LEAVING, DEAD -> false;
+			};
+		}
+
+		private boolean lastChoice() {
+			return this.health != null && (this.health.state() == ServerHealth.State.AVOIDED
+					|| (this.health.weight() <= 0 && this.health.state() != ServerHealth.State.TRIAL));
+		}
+
+		private boolean trial() {
+			return this.health != null && this.health.state() == ServerHealth.State.TRIAL;
+		}
+
+		private double share() {
+			double weight = (this.health != null) ? this.health.weight() : 1;
+			return this.server.slots() * Math.max(LEAST_WEIGHT, weight);
+		}
+
+		private double load() {
+			return (this.inFlight + 1) / share();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/TimerQueue.java
@@ -0,0 +1,59 @@
+package org.wigeonmast.dispatch.internal;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.Component;
+
+/**
+ * Timers of one component, ordered by time.
+ * <p>
+ * Thread safety: none. A timer that is no longer wanted is not removed; its owner
+ * recognises it when it is due.
+ *
+ * @param <K> what the timers are for
+ */
+public final class TimerQueue<K> {
+
+	private final PriorityQueue<Timer<K>> timers = new PriorityQueue<>(
+			Comparator.comparingLong((Timer<K> timer) -> timer.time).thenComparingLong((timer) -> timer.sequence));
+
+	private long sequence;
+
+	/**
+	 * Adds a timer.
+	 * @param time the monotonic time in milliseconds
+	 * @param key what it is for
+	 */
+	public void add(long time, K key) {
+		this.timers.add(new Timer<>(time, this.sequence++, key));
+	}
+
+	/**
+	 * Removes the next timer that is due.
+	 * @param now the monotonic time in milliseconds
+	 * @return what it is for, or {@code null} if none is due
+	 */
+	public @Nullable K poll(long now) {
+		Timer<K> timer = this.timers.peek();
+		if (timer == null || timer.time > now) {
+			return null;
+		}
+		this.timers.poll();
+		return timer.key;
+	}
+
+	/**
+	 * Returns the time of the next timer.
+	 * @return the monotonic time in milliseconds, or {@link Component#NO_TIMER}
+	 */
+	public long next() {
+		Timer<K> timer = this.timers.peek();
+		return (timer != null) ? timer.time : Component.NO_TIMER;
+	}
+
+	private record Timer<K>(long time, long sequence, K key) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * State and rules behind the dispatch components.
+ */
+@NullMarked
+package org.wigeonmast.dispatch.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wigeonmast-dispatch/src/test/java/org/wigeonmast/dispatch/RequestCoordinatorTests.java
@@ -0,0 +1,174 @@
+package org.wigeonmast.dispatch;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.RequestId;
+import org.wigeonmast.core.RequestOutcome;
+import org.wigeonmast.dispatch.DispatchMessage.SlotGrant;
+import org.wigeonmast.dispatch.DispatchMessage.SlotRequest;
+import org.wigeonmast.health.ServerHealth;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests the retry rules and the truth of outcomes.
+ */
+class RequestCoordinatorTests {
+
+	private static final long DEADLINE = 1000;
+
+	private RequestCoordinator coordinator;
+
+	@BeforeEach
+	void setUp() {
+		this.coordinator = new RequestCoordinator(DispatchFixtures.daemon(0), DispatchFixtures.ADDIS,
+				new SplittableRandom(1));
+		this.coordinator.handle(0,
+				new CoordinatorInput.ServiceChanged(DispatchFixtures.service(4, 2, DispatchFixtures.ADDIS)));
+	}
+
+	/**
+	 * Guards against a second run of a non-idempotent request after a broken connection.
+	 */
+	@Test
+	void brokenNonIdempotentRequestIsUnknown() {
+		accept(0, "r", false);
+		List<DispatchEffect> effects = report(5, "r", 1, new AttemptReport.Broken(false, false, "reset"));
+		assertThat(start(effects)).isNull();
+		assertThat(outcome(effects)).isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
+	/** Guards against giving up, or reusing the same server, when nothing was sent. */
+	@Test
+	void nothingSentIsRetriedOnAnotherServer() {
+		BackendServerId first = start(accept(0, "r", false)).server().id();
+		ExchangeCommand.StartAttempt second = start(report(5, "r", 1, new AttemptReport.NothingSent("refused")));
+		assertThat(second.server().id()).isNotEqualTo(first);
+		assertThat(second.requirement()).isEqualTo(ConnectionRequirement.PROVEN);
+	}
+
+	/** Guards against a claim "not run" after one attempt of several may have run. */
+	@Test
+	void refusalAfterBrokenAttemptIsUnknown() {
+		accept(0, "r", true);
+		report(5, "r", 1, new AttemptReport.Broken(false, false, "reset"));
+		report(6, "r", 2, new AttemptReport.NothingSent("refused"));
+		List<DispatchEffect> effects = report(7, "r", 3, new AttemptReport.NothingSent("refused"));
+		assertThat(outcome(effects)).isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
+	/** Guards against work that runs after its deadline when the process was paused. */
+	@Test
+	void expiredRequestIsNotSent() {
+		List<DispatchEffect> effects = accept(DEADLINE, "r", false);
+		assertThat(start(effects)).isNull();
+		assertThat(outcome(effects)).isInstanceOf(RequestOutcome.NotRun.class);
+	}
+
+	/** Guards against retries that are not bounded by the share of successes. */
+	@Test
+	void retriesStopWhenTheBudgetIsSpent() {
+		int retries = 0;
+		for (int i = 0; i < 50; i++) {
+			accept(i, "r" + i, true);
+			int attempt = 1;
+			AttemptReport broken = new AttemptReport.Broken(false, false, "reset");
+			while (start(report(i, "r" + i, attempt, broken)) != null) {
+				retries++;
+				attempt++;
+			}
+		}
+		assertThat(retries).isEqualTo(10);
+	}
+
+	/** Guards against work for servers that are ejected, dead or leaving. */
+	@Test
+	void serversOutOfServiceGetNoWork() {
+		this.coordinator.handle(0,
+				new CoordinatorInput.HealthChanged(DispatchFixtures.BOARD,
+						List.of(health(0, ServerHealth.State.EJECTED), health(1, ServerHealth.State.DEAD),
+								health(2, ServerHealth.State.LEAVING))));
+		for (int i = 0; i < 8; i++) {
+			assertThat(start(accept(0, "r" + i, true)).server().id())
+				.isEqualTo(DispatchFixtures.serverId(DispatchFixtures.ADDIS, 3));
+		}
+	}
+
+	/**
+	 * Guards against a slot that stays taken when a grant comes after direct dispatch.
+	 */
+	@Test
+	void lateGrantIsReturned() {
+		this.coordinator.handle(0, new CoordinatorInput.OwnersChanged(DispatchFixtures.BOARD, DispatchFixtures.ADDIS,
+				List.of(DispatchFixtures.daemon(1))));
+		this.coordinator.handle(0, new CoordinatorInput.Received(DispatchFixtures.daemon(1),
+				new DispatchMessage.DispatchAdvice(DispatchFixtures.BOARD, DispatchMode.GRANTED, List.of())));
+		SlotRequest asked = sent(accept(0, "r", true), SlotRequest.class);
+		assertThat(start(this.coordinator.tick(50))).isNotNull();
+		List<DispatchEffect> late = this.coordinator.handle(51,
+				new CoordinatorInput.Received(DispatchFixtures.daemon(1), new SlotGrant(DispatchFixtures.BOARD,
+						asked.ticket(), DispatchFixtures.serverId(DispatchFixtures.ADDIS, 0), 1000)));
+		assertThat(start(late)).isNull();
+		assertThat(sent(late, DispatchMessage.SlotCancel.class).ticket()).isEqualTo(asked.ticket());
+	}
+
+	/** Guards against a request that hangs when the proxy loses track of an attempt. */
+	@Test
+	void attemptWithoutReportEndsAsUnknown() {
+		accept(0, "r", true);
+		long due = this.coordinator.nextTick();
+		List<DispatchEffect> effects = List.of();
+		while (due != Long.MAX_VALUE && outcome(effects) == null) {
+			effects = this.coordinator.tick(due);
+			due = this.coordinator.nextTick();
+		}
+		assertThat(outcome(effects)).isInstanceOf(RequestOutcome.Unknown.class);
+		assertThat(this.coordinator.active()).isEqualTo(0);
+	}
+
+	private List<DispatchEffect> accept(long now, String id, boolean idempotent) {
+		return this.coordinator.handle(now, new CoordinatorInput.Proxied(
+				new RequestEvent.Accepted(DispatchFixtures.request(id, idempotent, DEADLINE))));
+	}
+
+	private List<DispatchEffect> report(long now, String id, int attempt, AttemptReport report) {
+		return this.coordinator.handle(now,
+				new CoordinatorInput.Proxied(new RequestEvent.AttemptProgress(new RequestId(id), attempt, report)));
+	}
+
+	private static ServerHealth health(int server, ServerHealth.State state) {
+		return new ServerHealth(DispatchFixtures.serverId(DispatchFixtures.ADDIS, server), state, 0);
+	}
+
+	private static ExchangeCommand.StartAttempt start(List<DispatchEffect> effects) {
+		return effects.stream()
+			.filter((effect) -> effect instanceof DispatchEffect.Exchange exchange
+					&& exchange.command() instanceof ExchangeCommand.StartAttempt)
+			.map((effect) -> (ExchangeCommand.StartAttempt) ((DispatchEffect.Exchange) effect).command())
+			.findFirst()
+			.orElse(null);
+	}
+
+	private static RequestOutcome outcome(List<DispatchEffect> effects) {
+		return effects.stream()
+			.filter(DispatchEffect.Ended.class::isInstance)
+			.map((effect) -> ((DispatchEffect.Ended) effect).outcome())
+			.findFirst()
+			.orElse(null);
+	}
+
+	private static <M extends DispatchMessage> M sent(List<DispatchEffect> effects, Class<M> type) {
+		return effects.stream()
+			.filter(DispatchEffect.Send.class::isInstance)
+			.map((effect) -> ((DispatchEffect.Send) effect).message())
+			.filter(type::isInstance)
+			.map(type::cast)
+			.findFirst()
+			.orElseThrow();
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-testing/src/main/java/org/wigeonmast/testing/RequestLedger.java
@@ -0,0 +1,132 @@
+package org.wigeonmast.testing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.RequestId;
+import org.wigeonmast.core.RequestOutcome;
+
+/**
+ * Oracle for the guarantees about requests: it compares what callers were told with what
+ * backend servers ran.
+ * <p>
+ * Thread safety: none. Runs may be recorded after the end of a request, because a broken
+ * connection does not stop a server.
+ */
+public final class RequestLedger {
+
+	private final Map<RequestId, Entry> open = new LinkedHashMap<>();
+
+	private final List<String> violations = new ArrayList<>();
+
+	private long ended;
+
+	/**
+	 * Records that a request was accepted.
+	 * @param request the request
+	 * @param idempotent whether it may run more than once
+	 */
+	public void accepted(RequestId request, boolean idempotent) {
+		this.open.put(request, new Entry(idempotent));
+	}
+
+	/**
+	 * Records that a backend server started to run a request.
+	 * @param request the request
+	 */
+	public void ran(RequestId request) {
+		Entry entry = this.open.get(request);
+		if (entry == null) {
+			this.violations.add(request + " ran without having been accepted, or after it was forgotten");
+			return;
+		}
+		entry.runs++;
+		if (entry.runs > 1 && !entry.idempotent) {
+			this.violations.add(request + " ran " + entry.runs + " times but is not idempotent");
+		}
+		if (entry.outcome instanceof RequestOutcome.NotRun) {
+			this.violations.add(request + " ran after it was refused as not run");
+		}
+	}
+
+	/**
+	 * Records how a request ended for its caller.
+	 * @param request the request
+	 * @param outcome the outcome
+	 */
+	public void ended(RequestId request, RequestOutcome outcome) {
+		Entry entry = this.open.get(request);
+		if (entry == null || entry.outcome != null) {
+			this.violations.add(request + " ended twice, the second time as " + outcome);
+			return;
+		}
+		entry.outcome = outcome;
+		this.ended++;
+		if (outcome instanceof RequestOutcome.NotRun && entry.runs > 0) {
+			this.violations.add(request + " was refused as not run but ran");
+		}
+		if (outcome instanceof RequestOutcome.Answered && entry.runs == 0) {
+			this.violations.add(request + " was answered but did not run");
+		}
+	}
+
+	/**
+	 * Forgets a request that has ended and cannot run any more, to bound the memory of
+	 * long runs.
+	 * @param request the request
+	 */
+	public void forget(RequestId request) {
+		Entry entry = this.open.get(request);
+		if (entry != null && entry.outcome != null) {
+			this.open.remove(request);
+		}
+	}
+
+	/**
+	 * Returns the number of requests that ended.
+	 * @return the number
+	 */
+	public long ended() {
+		return this.ended;
+	}
+
+	/**
+	 * Returns the violations so far, without requests that have not ended.
+	 * @return one text for each violation
+	 */
+	public List<String> violations() {
+		return List.copyOf(this.violations);
+	}
+
+	/**
+	 * Returns all violations at the end of a run, when every request must have ended.
+	 * @return one text for each violation
+	 */
+	public List<String> finalViolations() {
+		List<String> result = new ArrayList<>(this.violations);
+		this.open.forEach((request, entry) -> {
+			if (entry.outcome == null) {
+				result.add(request + " did not end");
+			}
+		});
+		return result;
+	}
+
+	private static final class Entry {
+
+		private final boolean idempotent;
+
+		private int runs;
+
+		private @Nullable RequestOutcome outcome;
+
+		private Entry(boolean idempotent) {
+			this.idempotent = idempotent;
+		}
+
+	}
+
+}
