--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/ServicePlan.java
@@ -0,0 +1,112 @@
+package org.wigeonmast.health;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.manifest.BackendServer;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.Service;
+
+/**
+ * The part of a manifest that decides about the health of one service.
+ * <p>
+ * Thread safety: immutable. Invariants: the domains are in the order of their names, so
+ * every daemon assigns permits to domains alike; there are as many permits as backend
+ * servers above the floor.
+ *
+ * @param service the service
+ * @param servers all backend servers of the service, in the order of the manifest
+ * @param floor the number of backend servers that ejections must leave in service
+ * @param domains the failure domains that run daemons, with the greatest number of
+ * daemons in each
+ */
+public record ServicePlan(ServiceName service, List<Server> servers, int floor, List<Domain> domains) {
+
+	/**
+	 * Creates a plan.
+	 */
+	public ServicePlan {
+		servers = List.copyOf(servers);
+		domains = List.copyOf(domains);
+	}
+
+	/**
+	 * Reads the plan of a service from a manifest.
+	 * @param manifest the manifest
+	 * @param service the service
+	 * @return the plan
+	 */
+	public static ServicePlan of(Manifest manifest, Service service) {
+		List<Server> servers = new ArrayList<>();
+		for (BackendServer server : service.servers()) {
+			servers.add(new Server(server.id(), server.failureDomain().region(), server.slots()));
+		}
+		return new ServicePlan(service.name(), servers, service.floor(), domains(manifest.daemons()));
+	}
+
+	/**
+	 * Orders the failure domains that run daemons.
+	 * @param daemons the greatest numbers of daemons by failure domain
+	 * @return the domains in the order of their names
+	 */
+	public static List<Domain> domains(Map<FailureDomain, Integer> daemons) {
+		return daemons.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() > 0)
+			.map((entry) -> new Domain(entry.getKey(), entry.getValue()))
+			.sorted(Comparator.comparing((domain) -> domain.name().toString()))
+			.toList();
+	}
+
+	/**
+	 * Returns the number of permits.
+	 * @return the number of backend servers that may be ejected at once
+	 */
+	public int permits() {
+		return this.domains.isEmpty() ? 0 : Math.max(0, this.servers.size() - this.floor);
+	}
+
+	/**
+	 * Returns the failure domain whose daemons promise a permit.
+	 * @param permit the number of the permit, 0 to {@link #permits()} - 1
+	 * @return the domain
+	 */
+	public Domain domain(int permit) {
+		return this.domains.get(permit % this.domains.size());
+	}
+
+	/**
+	 * A backend server.
+	 *
+	 * @param id the identifier
+	 * @param region the region
+	 * @param slots the number of requests that it runs at once
+	 */
+	public record Server(BackendServerId id, Region region, int slots) {
+	}
+
+	/**
+	 * A failure domain that runs daemons.
+	 *
+	 * @param name the name
+	 * @param daemons the greatest number of daemons that run there at once
+	 */
+	public record Domain(FailureDomain name, int daemons) {
+
+		/**
+		 * Returns the number of promises that hold a permit.
+		 * @return more than half of the greatest number of daemons
+		 */
+		public int majority() {
+			return this.daemons / 2 + 1;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
@@ -0,0 +1,407 @@
+package org.wigeonmast.health.internal;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.health.HealthInput;
+import org.wigeonmast.health.Observation;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * Compares the backend servers of one service and region with each other.
+ * <p>
+ * For each server and class of work it keeps cumulative sums of log-likelihood ratios:
+ * slow against the ranks of the peers' durations, failing against the peers' share of
+ * errors. What counts is the sum above the median of the peers' sums, so a change that
+ * affects most servers alike is no evidence. The time that a request waited behind others
+ * at its server is left out, because many requests that wait behind one long request are
+ * not independent evidence.
+ * <p>
+ * Thread safety: none. Invariant: results count in the order of their ends, so the order
+ * of arrival within {@link #REORDERING} does not matter.
+ */
+public final class Detector {
+
+	/** Strength from which a server counts as unhealthy. */
+	public static final double THRESHOLD = 18;
+
+	/**
+	 * Time in milliseconds for which results are held until earlier ones have arrived.
+	 */
+	public static final long REORDERING = 100;
+
+	/** Share of the threshold from which a server is no part of the comparison. */
+	private static final double DOUBTFUL = 0.5;
+
+	/** Requests per server after which a duration has half of its weight. */
+	private static final double HALF_LIFE = 64;
+
+	/** Work of the peers from which a rank can be given. */
+	private static final double LEAST_REFERENCE = 50;
+
+	/** Time in milliseconds after which a report of requests in flight is outdated. */
+	private static final long REPORT_LIFETIME = 400;
+
+	/** Requests in flight alone make at most this share of the threshold. */
+	private static final double RUNNING_SHARE = 0.8;
+
+	/** Added to all evidence while an endpoint states that the server is unhealthy. */
+	private static final double ENDPOINT_SCORE = 1;
+
+	private static final double TAIL = 0.99;
+
+	private static final Comparator<Result> BY_END = Comparator.comparingLong(Result::end);
+
+	private final Map<BackendServerId, ServerEvidence> servers = new LinkedHashMap<>();
+
+	private final PeerDurations[] peers = new PeerDurations[WorkClass.values().length];
+
+	private final List<Result> pending = new ArrayList<>();
+
+	/**
+	 * Creates a detector without servers.
+	 */
+	public Detector() {
+		for (WorkClass workClass : WorkClass.values()) {
+			this.peers[workClass.ordinal()] = new PeerDurations(workClass);
+		}
+	}
+
+	/**
+	 * Adds a server.
+	 * @param server the server
+	 * @param slots the number of requests that it runs at once
+	 */
+	public void add(BackendServerId server, int slots) {
+		ServerEvidence known = this.servers.get(server);
+		if (known == null || known.slots() != Math.max(1, slots)) {
+			this.servers.put(server, new ServerEvidence(slots));
+		}
+	}
+
+	/**
+	 * Removes a server.
+	 * @param server the server
+	 */
+	public void remove(BackendServerId server) {
+		this.servers.remove(server);
+	}
+
+	/**
+	 * Forgets what is known about a server.
+	 * @param server the server
+	 */
+	public void clear(BackendServerId server) {
+		ServerEvidence evidence = this.servers.get(server);
+		if (evidence != null) {
+			evidence.clear();
+		}
+	}
+
+	/**
+	 * Sets how the work of a server is used.
+	 * @param server the server
+	 * @param reference whether others are compared with it
+	 * @param slownessCounts whether slow work is evidence against it
+	 */
+	public void use(BackendServerId server, boolean reference, boolean slownessCounts) {
+		ServerEvidence evidence = this.servers.get(server);
+		if (evidence != null) {
+			evidence.reference = reference;
+			evidence.slownessCounts = slownessCounts;
+		}
+	}
+
+	/**
+	 * Records the reading of a health or load endpoint.
+	 * @param server the server
+	 * @param healthy what it states
+	 */
+	public void endpoint(BackendServerId server, boolean healthy) {
+		ServerEvidence evidence = this.servers.get(server);
+		if (evidence != null) {
+			evidence.endpointUnhealthy = !healthy;
+		}
+	}
+
+	/**
+	 * Takes the result of a request.
+	 * @param end when it ended
+	 * @param observation what was seen
+	 */
+	public void observe(long end, Observation observation) {
+		this.pending.add(new Result(end, observation));
+	}
+
+	/**
+	 * Takes the requests that a daemon has in flight.
+	 * @param now the time of the report
+	 * @param report the report
+	 */
+	public void inFlight(long now, HealthInput.InFlight report) {
+		for (ServerEvidence evidence : this.servers.values()) {
+			evidence.replaceRunning(report.observer());
+		}
+		for (HealthInput.RunningRequest request : report.requests()) {
+			ServerEvidence evidence = this.servers.get(request.server());
+			if (evidence != null) {
+				evidence.addRunning(new ServerEvidence.Running(report.observer(), request.workClass(),
+						now - request.elapsed(), now));
+			}
+		}
+	}
+
+	/**
+	 * Counts all results that are due.
+	 * @param now the time
+	 */
+	public void advance(long now) {
+		this.pending.sort(BY_END);
+		int due = 0;
+		while (due < this.pending.size() && this.pending.get(due).end <= now - REORDERING) {
+			due++;
+		}
+		List<Result> results = this.pending.subList(0, due);
+		for (Result result : results) {
+			ServerEvidence evidence = this.servers.get(result.observation.server());
+			if (evidence != null) {
+				count(result, evidence);
+			}
+		}
+		results.clear();
+		for (PeerDurations durations : this.peers) {
+			durations.refresh();
+		}
+		for (ServerEvidence evidence : this.servers.values()) {
+			scoreRunning(now, evidence);
+		}
+	}
+
+	/**
+	 * Returns the strongest evidence against a server.
+	 * @param server the server
+	 * @return the evidence
+	 */
+	public Suspicion suspicion(BackendServerId server) {
+		ServerEvidence evidence = this.servers.get(server);
+		if (evidence == null) {
+			return Suspicion.NONE;
+		}
+		Suspicion strongest = Suspicion.NONE;
+		for (WorkClass workClass : WorkClass.values()) {
+			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
+				double sum = sum(evidence, workClass, kind);
+				if (sum > strongest.strength()) {
+					double median = median(evidence, workClass, kind);
+					if (sum - median > strongest.strength()) {
+						strongest = describe(evidence, workClass, kind, sum - median, median);
+					}
+				}
+			}
+		}
+		return strongest;
+	}
+
+	private void count(Result result, ServerEvidence evidence) {
+		Observation observation = result.observation;
+		WorkClass workClass = observation.workClass();
+		DaemonId observer = observation.observer();
+		long start = result.end - observation.duration();
+		evidence.finished(observer, workClass, start);
+		switch (observation.result()) {
+			case SUCCEEDED, FAILED -> {
+				evidence.paths.answered(result.end, observer);
+				countAnswer(evidence, workClass, observation.result() == Observation.Result.FAILED,
+						result.end - evidence.serviceStart(start));
+				evidence.answered(result.end);
+			}
+			case TIMED_OUT, CONNECTION_FAILED -> {
+				if (evidence.paths.unanswered(result.end, observer)) {
+					countAnswer(evidence, workClass, true, 0);
+				}
+			}
+			// Shedding shows load, not sickness.
+			case SHED -> evidence.paths.answered(result.end, observer);
+		}
+	}
+
+	private void countAnswer(ServerEvidence server, WorkClass workClass, boolean failed, long duration) {
+		PeerDurations durations = this.peers[workClass.ordinal()];
+		ClassEvidence evidence = server.of(workClass);
+		evidence.remember(failed, duration);
+		evidence.addFailing(Scores.failing(failed, durations.errorShare(evidence)));
+		if (!failed && server.slownessCounts) {
+			double rank = durations.rank(evidence, duration);
+			if (rank >= 0) {
+				evidence.addSlow(Scores.slow(rank));
+			}
+		}
+		if (server.reference && !doubtful(server, workClass)) {
+			durations.counted++;
+			evidence.answers++;
+			if (failed) {
+				evidence.errors++;
+			}
+			else {
+				evidence.durations.add(duration);
+			}
+		}
+	}
+
+	private boolean doubtful(ServerEvidence server, WorkClass workClass) {
+		ClassEvidence evidence = server.of(workClass);
+		double limit = DOUBTFUL * THRESHOLD;
+		return (evidence.slow > limit && evidence.slow - median(server, workClass, Suspicion.Kind.SLOW) > limit)
+				|| (evidence.failing > limit
+						&& evidence.failing - median(server, workClass, Suspicion.Kind.FAILING) > limit);
+	}
+
+	private void scoreRunning(long now, ServerEvidence server) {
+		for (ClassEvidence evidence : server.classes) {
+			evidence.running = 0;
+		}
+		if (server.running.isEmpty()) {
+			return;
+		}
+		server.running.removeIf((request) -> request.reported() < now - REPORT_LIFETIME);
+		if (!server.slownessCounts) {
+			return;
+		}
+		// Only as many requests as there are slots can run; the others wait behind them.
+		server.running.sort(Comparator.comparingLong(ServerEvidence.Running::start));
+		int counted = Math.min(server.slots(), server.running.size());
+		for (ServerEvidence.Running request : server.running.subList(0, counted)) {
+			PeerDurations durations = this.peers[request.workClass().ordinal()];
+			ClassEvidence evidence = server.of(request.workClass());
+			long elapsed = request.reported() - server.serviceStart(request.start());
+			double rank = durations.rank(evidence, elapsed);
+			if (rank >= 0) {
+				evidence.running += Scores.running(rank, Math.max(1, elapsed / durations.tail));
+			}
+		}
+		for (ClassEvidence evidence : server.classes) {
+			evidence.running = Math.min(evidence.running, RUNNING_SHARE * THRESHOLD);
+		}
+	}
+
+	private double sum(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind) {
+		ClassEvidence evidence = server.of(workClass);
+		double sum = switch (kind) {
+			case SLOW -> evidence.slow + evidence.running;
+			case FAILING -> evidence.failing;
+			case UNREACHABLE -> server.paths.unreachable() + evidence.running;
+		};
+		return (server.endpointUnhealthy && sum > 0) ? sum + ENDPOINT_SCORE : sum;
+	}
+
+	private double median(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind) {
+		double[] sums = new double[this.servers.size()];
+		int count = 0;
+		for (ServerEvidence peer : this.servers.values()) {
+			if (peer != server && peer.reference) {
+				sums[count++] = sum(peer, workClass, kind);
+			}
+		}
+		if (count == 0) {
+			return 0;
+		}
+		Arrays.sort(sums, 0, count);
+		return sums[count / 2];
+	}
+
+	private Suspicion describe(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind, double strength,
+			double median) {
+		PeerDurations durations = this.peers[workClass.ordinal()];
+		ClassEvidence evidence = server.of(workClass);
+		double percent = 100;
+		return switch (kind) {
+			case SLOW ->
+				new Suspicion(kind, workClass, strength, median, evidence.typicalDuration(), durations.median());
+			case FAILING -> new Suspicion(kind, workClass, strength, median, percent * evidence.recentErrors(),
+					percent * durations.errorShare(evidence));
+			case UNREACHABLE -> new Suspicion(kind, workClass, strength, median,
+					percent * server.paths.failingObservers() / Math.max(1, server.paths.knownObservers()), 0);
+		};
+	}
+
+	private record Result(long end, Observation observation) {
+	}
+
+	/** The work of one class over all servers. */
+	private final class PeerDurations {
+
+		private final WorkClass workClass;
+
+		private final DurationHistogram all = new DurationHistogram();
+
+		private final List<DurationHistogram> histograms = new ArrayList<>();
+
+		private double counted;
+
+		private double tail = 1;
+
+		private float answers;
+
+		private float errors;
+
+		private PeerDurations(WorkClass workClass) {
+			this.workClass = workClass;
+		}
+
+		/** Decays and sums the work of all servers. */
+		private void refresh() {
+			if (this.counted == 0) {
+				return;
+			}
+			int count = Detector.this.servers.size();
+			float factor = (float) Math.pow(2, -this.counted / (HALF_LIFE * count));
+			this.counted = 0;
+			this.histograms.clear();
+			this.answers = 0;
+			this.errors = 0;
+			for (ServerEvidence server : Detector.this.servers.values()) {
+				ClassEvidence evidence = server.of(this.workClass);
+				evidence.decay(factor);
+				evidence.durations.accumulate();
+				this.histograms.add(evidence.durations);
+				this.answers += evidence.answers;
+				this.errors += evidence.errors;
+			}
+			this.all.sum(this.histograms);
+			this.tail = this.all.quantile(TAIL);
+		}
+
+		/**
+		 * Returns the rank of a duration among those of the peers.
+		 * @param evidence the evidence about the server itself
+		 * @param duration the duration in milliseconds
+		 * @return the rank, or -1 if there is too little work to compare with
+		 */
+		private double rank(ClassEvidence evidence, long duration) {
+			float total = this.all.total() - evidence.durations.total();
+			if (total < LEAST_REFERENCE) {
+				return -1;
+			}
+			int bucket = DurationHistogram.bucket(duration);
+			double rank = (this.all.below(bucket) - evidence.durations.below(bucket)) / total;
+			return Math.max(0, Math.min(1, rank));
+		}
+
+		private double errorShare(ClassEvidence evidence) {
+			float total = this.answers - evidence.answers;
+			return (total < LEAST_REFERENCE) ? 0 : Math.max(0, (this.errors - evidence.errors) / total);
+		}
+
+		private double median() {
+			return this.all.quantile(1.0 / 2);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/DurationHistogram.java
@@ -0,0 +1,117 @@
+package org.wigeonmast.health.internal;
+
+import java.util.Arrays;
+
+/**
+ * Histogram of durations in logarithmic buckets whose counts decay.
+ * <p>
+ * Thread safety: none. Invariant: {@link #below(long)} lies between 0 and the total.
+ */
+final class DurationHistogram {
+
+	/** Buckets grow by a fifth, so the last one starts at about half an hour. */
+	private static final double GROWTH = 1.2;
+
+	private static final int BUCKETS = 80;
+
+	private static final double LOGARITHM_OF_GROWTH = Math.log(GROWTH);
+
+	private static final int[] SMALL = new int[256];
+
+	static {
+		for (int duration = 1; duration < SMALL.length; duration++) {
+			SMALL[duration] = (int) (Math.log(duration) / LOGARITHM_OF_GROWTH);
+		}
+	}
+
+	private final float[] counts = new float[BUCKETS];
+
+	/** The number of durations below the middle of each bucket. */
+	private final float[] below = new float[BUCKETS];
+
+	private float total;
+
+	/**
+	 * Returns the bucket of a duration.
+	 * @param duration the duration in milliseconds
+	 * @return the bucket
+	 */
+	static int bucket(long duration) {
+		if (duration < SMALL.length) {
+			return SMALL[(int) Math.max(0, duration)];
+		}
+		return (int) Math.min(BUCKETS - 1, Math.log(duration) / LOGARITHM_OF_GROWTH);
+	}
+
+	/**
+	 * Returns the shortest duration of a bucket.
+	 * @param bucket the bucket
+	 * @return the duration in milliseconds
+	 */
+	static double start(int bucket) {
+		return Math.pow(GROWTH, bucket);
+	}
+
+	void add(long duration) {
+		this.counts[bucket(duration)]++;
+	}
+
+	void decay(float factor) {
+		for (int bucket = 0; bucket < BUCKETS; bucket++) {
+			this.counts[bucket] *= factor;
+		}
+	}
+
+	/** Brings the cumulative counts up to date with the counts. */
+	void accumulate() {
+		float sum = 0;
+		for (int bucket = 0; bucket < BUCKETS; bucket++) {
+			this.below[bucket] = sum + this.counts[bucket] / 2;
+			sum += this.counts[bucket];
+		}
+		this.total = sum;
+	}
+
+	/**
+	 * Sets this histogram to the sum of others, with their cumulative counts.
+	 * @param others the histograms
+	 */
+	void sum(Iterable<DurationHistogram> others) {
+		Arrays.fill(this.below, 0);
+		this.total = 0;
+		for (DurationHistogram other : others) {
+			for (int bucket = 0; bucket < BUCKETS; bucket++) {
+				this.below[bucket] += other.below[bucket];
+			}
+			this.total += other.total;
+		}
+	}
+
+	float below(int bucket) {
+		return this.below[bucket];
+	}
+
+	float total() {
+		return this.total;
+	}
+
+	/**
+	 * Returns a quantile.
+	 * @param share the share of durations that are shorter
+	 * @return the start of the quantile's bucket in milliseconds
+	 */
+	double quantile(double share) {
+		int bucket = 0;
+		while (bucket < BUCKETS - 1 && this.below[bucket] < share * this.total) {
+			bucket++;
+		}
+		return start(bucket);
+	}
+
+	/** Forgets all durations. */
+	void clear() {
+		Arrays.fill(this.counts, 0);
+		accumulate();
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/ServerEvidence.java
@@ -0,0 +1,113 @@
+package org.wigeonmast.health.internal;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * The evidence about one backend server.
+ * <p>
+ * Thread safety: none. Invariant: its size is bounded by the number of daemons, and the
+ * requests in flight by {@link #GREATEST_IN_FLIGHT}.
+ */
+final class ServerEvidence {
+
+	private static final int GREATEST_IN_FLIGHT = 64;
+
+	/** Tolerance in milliseconds when a result is matched to its request in flight. */
+	private static final long MATCH = 5;
+
+	final ClassEvidence[] classes = new ClassEvidence[WorkClass.values().length];
+
+	final PathEvidence paths = new PathEvidence();
+
+	final List<Running> running = new ArrayList<>();
+
+	/** Ends of the latest answers, as many as there are slots, oldest at the cursor. */
+	private final long[] ends;
+
+	private int cursor;
+
+	/** Whether the work of this server is part of what others are compared with. */
+	boolean reference = true;
+
+	/** Whether slowness counts; it does not during a cold start. */
+	boolean slownessCounts = true;
+
+	boolean endpointUnhealthy;
+
+	ServerEvidence(int slots) {
+		this.ends = new long[Math.max(1, slots)];
+		Arrays.fill(this.ends, Long.MIN_VALUE);
+		for (int index = 0; index < this.classes.length; index++) {
+			this.classes[index] = new ClassEvidence();
+		}
+	}
+
+	int slots() {
+		return this.ends.length;
+	}
+
+	ClassEvidence of(WorkClass workClass) {
+		return this.classes[workClass.ordinal()];
+	}
+
+	/**
+	 * Returns when a slot was free for a request at the latest: with s slots, the server
+	 * has finished s requests since it started to run this one.
+	 * @param start when the request was sent
+	 * @return the time
+	 */
+	long serviceStart(long start) {
+		return Math.max(start, this.ends[this.cursor]);
+	}
+
+	void answered(long end) {
+		this.ends[this.cursor] = end;
+		this.cursor = (this.cursor + 1) % this.ends.length;
+	}
+
+	void replaceRunning(DaemonId observer) {
+		this.running.removeIf((request) -> request.observer.equals(observer));
+	}
+
+	void addRunning(Running request) {
+		if (this.running.size() < GREATEST_IN_FLIGHT) {
+			this.running.add(request);
+		}
+	}
+
+	void finished(DaemonId observer, WorkClass workClass, long start) {
+		for (int index = 0; index < this.running.size(); index++) {
+			Running request = this.running.get(index);
+			if (request.workClass == workClass && Math.abs(request.start - start) <= MATCH
+					&& request.observer.equals(observer)) {
+				this.running.remove(index);
+				return;
+			}
+		}
+	}
+
+	void clear() {
+		for (ClassEvidence evidence : this.classes) {
+			evidence.clear();
+		}
+		this.paths.clear();
+		this.running.clear();
+	}
+
+	/**
+	 * A request in flight.
+	 *
+	 * @param observer the daemon that sent it
+	 * @param workClass the class of work
+	 * @param start when it was sent
+	 * @param reported when the daemon reported it
+	 */
+	record Running(DaemonId observer, WorkClass workClass, long start, long reported) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Suspicion.java
@@ -0,0 +1,79 @@
+package org.wigeonmast.health.internal;
+
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * The strongest evidence about a backend server in comparison with its peers.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param kind what the evidence shows
+ * @param workClass the class of work that shows it
+ * @param strength the sum of scores above the median of the peers
+ * @param peers the median of the peers' sums
+ * @param observed the server's figure
+ * @param expected the peers' figure
+ */
+public record Suspicion(Kind kind, WorkClass workClass, double strength, double peers, double observed,
+		double expected) {
+
+	/** No evidence. */
+	public static final Suspicion NONE = new Suspicion(Kind.SLOW, WorkClass.SHORT, 0, 0, 0, 0);
+
+	/**
+	 * Returns the evidence as named values.
+	 * @return the values, in a stable order
+	 */
+	public Map<String, String> evidence() {
+		Map<String, String> values = new LinkedHashMap<>();
+		values.put("kind", this.kind.toString().toLowerCase(Locale.ROOT));
+		values.put("class", this.workClass.toString().toLowerCase(Locale.ROOT));
+		values.put("strength", format(this.strength));
+		values.put("threshold", format(Detector.THRESHOLD));
+		values.put("observed", format(this.observed) + this.kind.unit);
+		values.put("peers", format(this.expected) + this.kind.unit);
+		return values;
+	}
+
+	/**
+	 * Returns the evidence in one line.
+	 * @return the text
+	 */
+	public String summary() {
+		return String.format(Locale.ROOT, "%s %s work: %s%s, peers %s%s, strength %s of %s", this.kind.text,
+				this.workClass.toString().toLowerCase(Locale.ROOT), format(this.observed), this.kind.unit,
+				format(this.expected), this.kind.unit, format(this.strength), format(Detector.THRESHOLD));
+	}
+
+	private static String format(double value) {
+		return String.format(Locale.ROOT, "%.1f", value);
+	}
+
+	/** What evidence shows. */
+	public enum Kind {
+
+		/** Work takes longer than that of the peers. */
+		SLOW("slow", " ms median"),
+
+		/** More work fails than at the peers. */
+		FAILING("failing", " % failed"),
+
+		/** Requests of almost all daemons get no answer. */
+		UNREACHABLE("unanswered", " % of daemons without answer");
+
+		private final String text;
+
+		private final String unit;
+
+		Kind(String text, String unit) {
+			this.text = text;
+			this.unit = unit;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-health/src/test/java/org/wigeonmast/health/HealthMonitorTests.java
@@ -0,0 +1,109 @@
+package org.wigeonmast.health;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Function;
+import java.util.function.ToLongFunction;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.manifest.WorkClass;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HealthMonitorTests {
+
+	private static final Region ADDIS = new Region("addis");
+
+	private static final ServiceName SERVICE = new ServiceName("rota-board");
+
+	private static final int SERVERS = 8;
+
+	private static final int DAEMONS = 36;
+
+	private final Random random = new Random(5);
+
+	private HealthMonitor monitor = monitor();
+
+	private long now;
+
+	@BeforeEach
+	void warmUp() {
+		run(10_000, this::healthy, (server) -> Observation.Result.SUCCEEDED);
+	}
+
+	/** Guards against a server that answers slowly staying in service. */
+	@Test
+	void slowServerIsAvoidedWithinTwoSeconds() {
+		run(2_000, (server) -> healthy(server) * ((server == 3) ? 10 : 1), (server) -> Observation.Result.SUCCEEDED);
+		assertThat(avoided()).containsExactly("server-3");
+	}
+
+	/** Guards against errors being overlooked because failing answers are fast. */
+	@Test
+	void failingServerIsAvoidedWithinTwoSeconds() {
+		run(2_000, this::healthy, (server) -> (server == 3 && this.random.nextBoolean()) ? Observation.Result.FAILED
+				: Observation.Result.SUCCEEDED);
+		assertThat(avoided()).containsExactly("server-3");
+	}
+
+	/** Guards against ejection when the whole service is overloaded. */
+	@Test
+	void noServerIsAvoidedWhenAllAreSlow() {
+		run(10_000, (server) -> healthy(server) * 10, (server) -> Observation.Result.SUCCEEDED);
+		assertThat(avoided()).isEmpty();
+	}
+
+	/** Guards against treating refusals under load as sickness. */
+	@Test
+	void sheddingServerIsNotAvoided() {
+		run(10_000, this::healthy, (server) -> (server == 3 && this.random.nextBoolean()) ? Observation.Result.SHED
+				: Observation.Result.SUCCEEDED);
+		assertThat(avoided()).isEmpty();
+	}
+
+	private long healthy(int server) {
+		return Math.round(20 * Math.exp(0.7 * this.random.nextGaussian()));
+	}
+
+	private void run(long time, ToLongFunction<Integer> duration, Function<Integer, Observation.Result> result) {
+		long end = this.now + time;
+		while (this.now < end) {
+			this.now += 50;
+			for (int server = 0; server < SERVERS; server++) {
+				DaemonId daemon = new DaemonId("daemon-" + this.random.nextInt(DAEMONS), 1);
+				Observation observation = new Observation(SERVICE, new BackendServerId("server-" + server),
+						WorkClass.SHORT, daemon, result.apply(server), duration.applyAsLong(server));
+				this.monitor.handle(this.now, new HealthInput.Observed(observation, 0));
+			}
+			if (this.now >= this.monitor.nextTick()) {
+				this.monitor.tick(this.now);
+			}
+		}
+	}
+
+	private List<String> avoided() {
+		return this.monitor.servers()
+			.stream()
+			.filter((server) -> server.state() == ServerHealth.State.AVOIDED)
+			.map((server) -> server.server().value())
+			.toList();
+	}
+
+	private static HealthMonitor monitor() {
+		List<ServicePlan.Server> servers = new ArrayList<>();
+		for (int server = 0; server < SERVERS; server++) {
+			servers.add(new ServicePlan.Server(new BackendServerId("server-" + server), ADDIS, 2));
+		}
+		ServicePlan plan = new ServicePlan(SERVICE, servers, 6,
+				List.of(new ServicePlan.Domain(new FailureDomain(ADDIS, "a"), 18)));
+		return new HealthMonitor(new DaemonId("daemon-0", 1), ADDIS, plan);
+	}
+
+}
