--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/FollowInput.java
@@ -0,0 +1,89 @@
+package org.wigeonmast.manifest.follow;
+
+import java.util.List;
+
+import org.wigeonmast.core.HostAddress;
+
+/**
+ * An input of the {@link ManifestFollower}.
+ * <p>
+ * Thread safety: immutable; byte arrays must not be changed.
+ */
+public sealed interface FollowInput {
+
+	/**
+	 * A message arrived from a peer.
+	 *
+	 * @param from the sender
+	 * @param message the message
+	 */
+	record Received(HostAddress from, ManifestMessage message) implements FollowInput {
+	}
+
+	/**
+	 * The live members changed.
+	 *
+	 * @param peers the other live members of all regions, the leaving ones too because
+	 * they may hold the highest version
+	 * @param rank this daemon's rank among its region's readers: 0 or 1 if it reads the
+	 * store, otherwise {@link #NO_READER}
+	 * @param joined whether the member list is complete as far as it can be: membership
+	 * has joined the fleet, or has given up waiting for an answer
+	 */
+	record PeersChanged(List<Peer> peers, int rank, boolean joined) implements FollowInput {
+
+		/** Rank of a daemon that does not read the store. */
+		public static final int NO_READER = -1;
+
+		public PeersChanged {
+			peers = List.copyOf(peers);
+		}
+	}
+
+	/**
+	 * The store returned the index.
+	 *
+	 * @param bytes the bytes of the index
+	 */
+	record StoreIndex(byte[] bytes) implements FollowInput {
+	}
+
+	/**
+	 * A watch ended without a change.
+	 */
+	record StoreUnchanged() implements FollowInput {
+	}
+
+	/**
+	 * The store returned a part.
+	 *
+	 * @param hash the hash that was asked for
+	 * @param bytes the bytes of the part
+	 */
+	record StorePart(String hash, byte[] bytes) implements FollowInput {
+	}
+
+	/**
+	 * Reading or watching the index failed.
+	 *
+	 * @param reason the reason for the log
+	 */
+	record StoreFailed(String reason) implements FollowInput {
+	}
+
+	/**
+	 * Reading a part from the store failed.
+	 *
+	 * @param hash the hash that was asked for
+	 * @param reason the reason for the log
+	 */
+	record StorePartFailed(String hash, String reason) implements FollowInput {
+	}
+
+	/**
+	 * The daemon noticed that it had been paused.
+	 */
+	record Resumed() implements FollowInput {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/ManifestFollower.java
@@ -0,0 +1,606 @@
+package org.wigeonmast.manifest.follow;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.AuditKind;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.Step;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.ManifestChecker;
+import org.wigeonmast.manifest.ManifestIndex;
+import org.wigeonmast.manifest.ManifestPart;
+
+/**
+ * Follows the manifest: reads versions from the store or from peers, accepts them and
+ * passes them on.
+ * <p>
+ * Thread safety: none; the control thread owns it.
+ * <p>
+ * A version is <em>accepted</em> by a daemon at the moment at which
+ * {@link FollowEffect.Apply} is returned. Then the daemon holds the index and all parts,
+ * each with the hash under which it was named; the {@link ManifestChecker} has found no
+ * error in the whole; and the version is higher than that of every manifest that this
+ * process accepted before. Invariants:
+ * <ul>
+ * <li>The versions that one process accepts rise strictly, whatever arrives. Of two
+ * hashes with one version, the first accepted stays.</li>
+ * <li>Let n be the number of daemons of the region that membership counts as live, this
+ * one included. A process that is not ready becomes ready only after {@code n / 2 + 1}
+ * other ready members, or all other members, have answered a question that it sent after
+ * it started (or resumed), and only with a version at least as high as every answer of a
+ * live member. So if more than half of the n daemons accepted version v before the
+ * process started and are still running when it becomes ready, it is ready with v or
+ * higher.</li>
+ * <li>When no other member of the region is live, the readers of other regions are asked
+ * instead; when there are none either, the version from the store is enough, and a
+ * process without any version is never ready.</li>
+ * </ul>
+ * Members that membership declares dead no longer count. A daemon that starts on the
+ * smaller side of a partition therefore becomes ready, with the highest version of its
+ * side, once the other side is declared dead.
+ * <p>
+ * Wiring: give messages as {@link FollowInput.Received}, and what
+ * {@code MembershipEffect.ManifestHeard} tells as a received
+ * {@link ManifestMessage.Announcement}. On each change of members give
+ * {@link FollowInput.PeersChanged}, with {@code Ownership.readers} for the rank. Carry
+ * the store effects out on another thread and give the results back. After
+ * {@link FollowEffect.Apply} tell membership with {@code ManifestInForce}; after
+ * {@link FollowEffect.ReadinessChanged} with {@code PhaseChanged}. Pass
+ * {@code MembershipEffect.Resumed} on before any message that waited during the pause.
+ */
+public final class ManifestFollower implements Component<FollowInput, FollowEffect> {
+
+	private static final String STORE = "store";
+
+	private static final int MAXIMUM_KNOWN = 16;
+
+	private static final int MAXIMUM_REJECTED = 64;
+
+	/** Time without any answer after which the daemon counts as cut off. */
+	private static final long CUT_OFF_TIME = 10_000;
+
+	private final String name;
+
+	private final Region region;
+
+	private final ManifestChecker checker;
+
+	private final FollowSettings settings;
+
+	private final RandomGenerator random;
+
+	private final StoreReader store;
+
+	private final ReadinessPoll poll;
+
+	private final Map<VersionStamp, VersionFetch> known = new HashMap<>();
+
+	private final Set<VersionStamp> rejected = new LinkedHashSet<>();
+
+	private final Set<VersionStamp> conflicts = new LinkedHashSet<>();
+
+	private final Set<String> reportedBehind = new LinkedHashSet<>();
+
+	private Map<HostAddress, Peer> peers = Map.of();
+
+	private List<Peer> localPeers = List.of();
+
+	private int rank = FollowInput.PeersChanged.NO_READER;
+
+	private boolean joined;
+
+	private boolean ready;
+
+	private boolean cutOff;
+
+	private boolean storeFailed;
+
+	private long lastContact;
+
+	private @Nullable AcceptedVersion accepted;
+
+	private List<FollowEffect> effects = new ArrayList<>();
+
+	/**
+	 * Creates a follower that has accepted nothing.
+	 * @param name the daemon's name, for the audit
+	 * @param region the daemon's region
+	 * @param checker reads and checks manifests
+	 * @param settings times and bounds
+	 * @param random random numbers, seeded in tests
+	 */
+	public ManifestFollower(String name, Region region, ManifestChecker checker, FollowSettings settings,
+			RandomGenerator random) {
+		this.name = name;
+		this.region = region;
+		this.checker = checker;
+		this.settings = settings;
+		this.random = random;
+		this.store = new StoreReader(settings, random);
+		this.poll = new ReadinessPoll(settings, random);
+	}
+
+	/**
+	 * Returns the version in force.
+	 * @return the version, or {@link VersionStamp#NONE}
+	 */
+	public VersionStamp inForce() {
+		return (this.accepted != null) ? this.accepted.stamp() : VersionStamp.NONE;
+	}
+
+	/**
+	 * Returns whether the daemon may serve with the version in force.
+	 * @return whether it is ready
+	 */
+	public boolean isReady() {
+		return this.ready;
+	}
+
+	/**
+	 * Returns whether neither a member nor the store has answered for some time.
+	 * @return whether the daemon is cut off
+	 */
+	public boolean isCutOff() {
+		return this.cutOff;
+	}
+
+	@Override
+	public List<FollowEffect> handle(long now, FollowInput input) {
+		switch (input) {
+			case FollowInput.Received received -> {
+				contact(now);
+				receive(now, received.from(), received.message());
+			}
+			case FollowInput.PeersChanged change -> changePeers(now, change);
+			case FollowInput.StoreIndex read -> readStoreIndex(now, read.bytes());
+			case FollowInput.StoreUnchanged unchanged -> {
+				storeAnswered(now);
+				this.store.unchanged(now);
+			}
+			case FollowInput.StorePart part -> {
+				storeAnswered(now);
+				receivePart(STORE, part.hash(), part.bytes());
+			}
+			case FollowInput.StoreFailed failure -> {
+				this.store.failed(now);
+				reportStoreFailure(failure.reason());
+			}
+			case FollowInput.StorePartFailed failure -> reportStoreFailure(failure.reason());
+			case FollowInput.Resumed resumed -> resume(now);
+		}
+		advance(now);
+		return drain();
+	}
+
+	@Override
+	public List<FollowEffect> tick(long now) {
+		if (this.store.tick(now, this.effects)) {
+			reportStoreFailure("no answer in time");
+		}
+		advance(now);
+		checkCutOff(now);
+		return drain();
+	}
+
+	@Override
+	public long nextTick() {
+		long next = this.store.nextTick();
+		VersionFetch fetch = wanted();
+		if (fetch != null) {
+			next = Math.min(next, Math.max(fetch.startsAt(delay()), fetch.earliestTimeout()));
+		}
+		if (this.joined && !this.ready) {
+			next = Math.min(next, this.poll.nextTick());
+		}
+		return (this.cutOff || this.accepted == null) ? next : Math.min(next, this.lastContact + CUT_OFF_TIME);
+	}
+
+	private void receive(long now, HostAddress from, ManifestMessage message) {
+		switch (message) {
+			case ManifestMessage.Announcement announcement -> {
+				hear(now, from, announcement.stamp());
+				if (announcement.stamp().version() < inForce().version()) {
+					send(from, new ManifestMessage.Announcement(inForce()));
+				}
+			}
+			case ManifestMessage.Query query ->
+				send(from, new ManifestMessage.QueryReply(query.number(), inForce(), this.ready));
+			case ManifestMessage.QueryReply reply -> {
+				this.poll.answered(from, reply);
+				hear(now, from, reply.stamp());
+			}
+			case ManifestMessage.IndexRequest request -> serveIndex(from, request);
+			case ManifestMessage.IndexReply reply -> receiveIndex(now, from, reply);
+			case ManifestMessage.PartRequest request -> serveParts(from, request);
+			case ManifestMessage.PartReply reply -> receivePart(from, reply.hash(), reply.content().bytes());
+		}
+	}
+
+	private void hear(long now, HostAddress from, VersionStamp stamp) {
+		VersionStamp current = inForce();
+		if (stamp.version() > current.version() && !this.rejected.contains(stamp)) {
+			VersionFetch fetch = know(now, stamp);
+			if (fetch != null) {
+				fetch.addSource(from, isLocal(from));
+			}
+		}
+		else if (stamp.version() == current.version() && !stamp.equals(current)) {
+			conflict(stamp);
+		}
+		for (VersionFetch fetch : this.known.values()) {
+			if (!fetch.stamp().equals(stamp)) {
+				fetch.removeSource(from);
+			}
+		}
+	}
+
+	private @Nullable VersionFetch know(long now, VersionStamp stamp) {
+		VersionFetch fetch = this.known.get(stamp);
+		if (fetch == null) {
+			this.known.values().removeIf((old) -> !old.hasSource());
+			if (this.known.size() >= MAXIMUM_KNOWN) {
+				return null;
+			}
+			fetch = new VersionFetch(stamp, now);
+			this.known.put(stamp, fetch);
+		}
+		return fetch;
+	}
+
+	private void conflict(VersionStamp stamp) {
+		if (this.conflicts.size() < MAXIMUM_REJECTED && this.conflicts.add(stamp)) {
+			report(FollowEvent.CONFLICT, inForce(), stamp);
+		}
+	}
+
+	private void changePeers(long now, FollowInput.PeersChanged change) {
+		Map<HostAddress, Peer> byAddress = HashMap.newHashMap(change.peers().size());
+		List<Peer> local = new ArrayList<>();
+		for (Peer peer : change.peers()) {
+			byAddress.put(peer.address(), peer);
+			if (peer.region().equals(this.region)) {
+				local.add(peer);
+			}
+		}
+		this.peers = byAddress;
+		this.localPeers = local;
+		this.rank = change.rank();
+		this.store.setActive(now, this.rank != FollowInput.PeersChanged.NO_READER);
+		this.poll.setAsked((local.isEmpty()) ? readersElsewhere() : local);
+		if (change.joined() && !this.joined) {
+			this.joined = true;
+			this.lastContact = now;
+			this.poll.start(now);
+		}
+	}
+
+	private void readStoreIndex(long now, byte[] bytes) {
+		storeAnswered(now);
+		String hash = ContentHash.of(bytes);
+		this.store.answered(now, hash);
+		Either<List<String>, ManifestIndex> read = readIndex(bytes);
+		if (read.isLeft()) {
+			reject(now, new VersionStamp(0, hash), read.getLeft());
+			return;
+		}
+		ManifestIndex index = read.get();
+		VersionStamp stamp = new VersionStamp(index.version(), hash);
+		VersionStamp current = inForce();
+		if (stamp.version() < current.version()) {
+			if (this.reportedBehind.size() < MAXIMUM_REJECTED && this.reportedBehind.add(hash)) {
+				report(FollowEvent.STORE_BEHIND, stamp, current);
+			}
+		}
+		else if (stamp.version() == current.version()) {
+			if (!stamp.equals(current)) {
+				conflict(stamp);
+			}
+		}
+		else if (!this.rejected.contains(stamp)) {
+			VersionFetch fetch = know(now, stamp);
+			if (fetch != null) {
+				fetch.setInStore(true);
+				fetch.putIndex(bytes, index);
+			}
+		}
+	}
+
+	private Either<List<String>, ManifestIndex> readIndex(byte[] bytes) {
+		if (bytes.length > this.settings.maximumContent()) {
+			return Either.left(List.of("the index has " + bytes.length + " bytes"));
+		}
+		return this.checker.readIndex(bytes).flatMap((index) -> {
+			if (index.parts().size() > this.settings.maximumParts()) {
+				return Either.left(List.of("the index has " + index.parts().size() + " parts"));
+			}
+			for (ManifestPart part : index.parts()) {
+				if (part.size() > this.settings.maximumContent()) {
+					return Either.left(List.of("part " + part.name() + " has " + part.size() + " bytes"));
+				}
+			}
+			return Either.right(index);
+		});
+	}
+
+	private void receiveIndex(long now, HostAddress from, ManifestMessage.IndexReply reply) {
+		VersionFetch fetch = wanted();
+		if (fetch == null || fetch.index() != null || !fetch.stamp().hash().equals(reply.hash())) {
+			return;
+		}
+		byte[] bytes = reply.content().bytes();
+		if (!ContentHash.of(bytes).equals(reply.hash())) {
+			report(FollowEvent.CONTENT_INVALID, reply.hash(), from, "wrong hash");
+			return;
+		}
+		Either<List<String>, ManifestIndex> read = readIndex(bytes);
+		if (read.isLeft() || read.get().version() != fetch.stamp().version()) {
+			reject(now, fetch.stamp(), (read.isLeft()) ? read.getLeft() : List.of("announced with another version"));
+			return;
+		}
+		fetch.putIndex(bytes, read.get());
+	}
+
+	private void receivePart(Object from, String hash, byte[] bytes) {
+		VersionFetch fetch = wanted();
+		ManifestPart part = (fetch != null) ? fetch.missingPart(hash) : null;
+		if (fetch == null || part == null) {
+			return;
+		}
+		if (bytes.length != part.size() || !ContentHash.of(bytes).equals(hash)) {
+			report(FollowEvent.CONTENT_INVALID, hash, from, "wrong size or hash");
+			return;
+		}
+		fetch.putPart(hash, bytes);
+	}
+
+	private void serveIndex(HostAddress from, ManifestMessage.IndexRequest request) {
+		AcceptedVersion current = this.accepted;
+		if (current != null && current.index().hash().equals(request.hash())) {
+			send(from, new ManifestMessage.IndexReply(request.hash(), Content.plain(current.indexBytes())));
+		}
+		else {
+			send(from, new ManifestMessage.Announcement(inForce()));
+		}
+	}
+
+	private void serveParts(HostAddress from, ManifestMessage.PartRequest request) {
+		AcceptedVersion current = this.accepted;
+		if (current == null || !current.index().hash().equals(request.index())) {
+			send(from, new ManifestMessage.Announcement(inForce()));
+			return;
+		}
+		for (String hash : request.hashes().stream().limit(this.settings.requestWindow()).toList()) {
+			byte[] bytes = current.parts().get(hash);
+			if (bytes != null) {
+				send(from, new ManifestMessage.PartReply(hash, Content.plain(bytes)));
+			}
+		}
+	}
+
+	private void advance(long now) {
+		VersionFetch fetch = wanted();
+		while (fetch != null && complete(now, fetch)) {
+			fetch = wanted();
+		}
+		if (fetch != null && now >= fetch.startsAt(delay())) {
+			request(now, fetch);
+		}
+		if (this.joined && !this.ready) {
+			this.poll.tick(now, this.effects);
+			checkReadiness();
+		}
+	}
+
+	private @Nullable VersionFetch wanted() {
+		return this.known.values()
+			.stream()
+			.filter(VersionFetch::hasSource)
+			.max(Comparator.<VersionFetch>comparingLong((fetch) -> fetch.stamp().version())
+				.thenComparing((fetch) -> fetch.stamp().hash()))
+			.orElse(null);
+	}
+
+	private long delay() {
+		return switch (this.rank) {
+			case 0 -> 0;
+			case FollowInput.PeersChanged.NO_READER -> this.settings.memberDelay();
+			default -> this.settings.secondReaderDelay();
+		};
+	}
+
+	private void request(long now, VersionFetch fetch) {
+		if (fetch.earliestTimeout() <= now) {
+			fetch.tryNextSource();
+			if (fetch.isExhausted()) {
+				giveUp(now, fetch);
+				return;
+			}
+		}
+		HostAddress source = fetch.source();
+		List<String> hashes = fetch.takeRequests(this.settings.requestWindow(), now + this.settings.requestTimeout());
+		if (hashes.isEmpty()) {
+			return;
+		}
+		if (source == null) {
+			hashes.forEach((hash) -> this.effects.add(new FollowEffect.ReadPart(hash)));
+		}
+		else if (fetch.index() == null) {
+			send(source, new ManifestMessage.IndexRequest(fetch.stamp().hash(), inForce().hash()));
+		}
+		else {
+			send(source, new ManifestMessage.PartRequest(fetch.stamp().hash(), inForce().hash(), hashes));
+		}
+	}
+
+	/**
+	 * Forgets a version that no source delivers, so that it does not keep a lower one
+	 * from being accepted. It is known again when it is heard of again.
+	 * @param now the time in milliseconds
+	 * @param fetch the version
+	 */
+	private void giveUp(long now, VersionFetch fetch) {
+		this.known.remove(fetch.stamp());
+		if (fetch.isInStore()) {
+			this.store.failed(now);
+		}
+	}
+
+	private boolean complete(long now, VersionFetch fetch) {
+		AcceptedVersion current = this.accepted;
+		ManifestIndex index = fetch.index();
+		byte[] indexBytes = fetch.indexBytes();
+		if (index == null || indexBytes == null) {
+			return false;
+		}
+		if (current != null) {
+			fetch.reuse(current.parts());
+		}
+		if (!fetch.isComplete()) {
+			return false;
+		}
+		Either<List<String>, Manifest> checked = this.checker.check(index, fetch.parts());
+		if (checked.isLeft()) {
+			reject(now, fetch.stamp(), checked.getLeft());
+		}
+		else {
+			accept(now, fetch, new AcceptedVersion(checked.get(), index, indexBytes, Map.copyOf(fetch.parts())));
+		}
+		return true;
+	}
+
+	private void accept(long now, VersionFetch fetch, AcceptedVersion version) {
+		VersionStamp previous = inForce();
+		if (version.index().version() <= previous.version()) {
+			throw new IllegalStateException("Version " + version.stamp() + " does not follow " + previous);
+		}
+		this.accepted = version;
+		this.known.keySet().removeIf((stamp) -> stamp.version() <= version.index().version());
+		HostAddress source = fetch.source();
+		String from = (source != null) ? source.toString() : STORE;
+		this.effects.add(new FollowEffect.Apply(version.manifest()));
+		report(FollowEvent.ACCEPTED, version.stamp(), from);
+		this.effects.add(new FollowEffect.Audit(new AuditEntry(now, AuditKind.MANIFEST_ACCEPTED,
+				version.stamp().toString(), Step.APPLY, from, Map.of("previous", previous.toString()))));
+		announce();
+	}
+
+	private void announce() {
+		ManifestMessage message = new ManifestMessage.Announcement(inForce());
+		List<Peer> chosen = new ArrayList<>();
+		for (int i = 0; i < this.settings.fanOut() && !this.localPeers.isEmpty(); i++) {
+			chosen.add(this.localPeers.get(this.random.nextInt(this.localPeers.size())));
+		}
+		if (this.rank != FollowInput.PeersChanged.NO_READER) {
+			chosen.addAll(readersElsewhere());
+		}
+		for (Peer peer : new LinkedHashSet<>(chosen)) {
+			send(peer.address(), message);
+		}
+	}
+
+	private List<Peer> readersElsewhere() {
+		List<Peer> readers = new ArrayList<>();
+		for (Peer peer : this.peers.values()) {
+			if (peer.reader() && !peer.region().equals(this.region)) {
+				readers.add(peer);
+			}
+		}
+		readers.sort(Comparator.comparing((peer) -> peer.address().toString()));
+		return Collections.unmodifiableList(readers);
+	}
+
+	private void reject(long now, VersionStamp stamp, List<String> errors) {
+		this.known.remove(stamp);
+		if (this.rejected.size() >= MAXIMUM_REJECTED) {
+			this.rejected.remove(this.rejected.iterator().next());
+		}
+		if (this.rejected.add(stamp)) {
+			report(FollowEvent.REJECTED, stamp, String.join("; ", errors));
+			this.effects.add(new FollowEffect.Audit(new AuditEntry(now, AuditKind.MANIFEST_REJECTED, stamp.toString(),
+					Step.CHECK, this.name, Map.of("errors", String.join("; ", errors)))));
+		}
+	}
+
+	private void checkReadiness() {
+		AcceptedVersion current = this.accepted;
+		if (current != null && this.poll.isComplete() && current.index().version() >= this.poll.highestVersion()) {
+			this.ready = true;
+			this.effects.add(new FollowEffect.ReadinessChanged(true));
+			report(FollowEvent.READY, current.stamp(), this.poll.answerCount(), this.poll.askedCount());
+		}
+	}
+
+	private void resume(long now) {
+		if (this.ready) {
+			this.ready = false;
+			this.effects.add(new FollowEffect.ReadinessChanged(false));
+			report(FollowEvent.NOT_READY, "the daemon was paused");
+		}
+		this.poll.start(now);
+		this.store.restart(now);
+		this.lastContact = now;
+	}
+
+	private void checkCutOff(long now) {
+		if (!this.cutOff && this.accepted != null && now - this.lastContact >= CUT_OFF_TIME) {
+			this.cutOff = true;
+			report(FollowEvent.CUT_OFF, inForce());
+		}
+	}
+
+	private void contact(long now) {
+		this.lastContact = now;
+		if (this.cutOff) {
+			this.cutOff = false;
+			report(FollowEvent.CONNECTED);
+		}
+	}
+
+	private void storeAnswered(long now) {
+		contact(now);
+		if (this.storeFailed) {
+			this.storeFailed = false;
+			report(FollowEvent.STORE_RETURNED);
+		}
+	}
+
+	private void reportStoreFailure(String reason) {
+		if (!this.storeFailed) {
+			this.storeFailed = true;
+			report(FollowEvent.STORE_FAILED, reason);
+		}
+	}
+
+	private boolean isLocal(HostAddress address) {
+		Peer peer = this.peers.get(address);
+		return peer != null && peer.region().equals(this.region);
+	}
+
+	private void send(HostAddress to, ManifestMessage message) {
+		this.effects.add(new FollowEffect.Send(to, message));
+	}
+
+	private void report(FollowEvent event, Object... parameters) {
+		this.effects.add(new FollowEffect.Report(event, List.of(parameters)));
+	}
+
+	private List<FollowEffect> drain() {
+		List<FollowEffect> result = this.effects;
+		this.effects = new ArrayList<>();
+		return result;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/ReadinessPoll.java
@@ -0,0 +1,114 @@
+package org.wigeonmast.manifest.follow;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.wigeonmast.core.HostAddress;
+
+/**
+ * One round of questions to the members of the own region before a daemon becomes ready.
+ * <p>
+ * Thread safety: none. Invariants: only answers to this round count, and only while their
+ * senders are live; the answer of a member that is not ready itself counts only when all
+ * have answered, since it may have started empty a moment ago.
+ */
+final class ReadinessPoll {
+
+	private static final long MAXIMUM_INTERVAL = 2000;
+
+	private final FollowSettings settings;
+
+	private final RandomGenerator random;
+
+	private final Map<HostAddress, Answer> answers = new HashMap<>();
+
+	private List<Peer> asked = List.of();
+
+	private long number;
+
+	private long interval;
+
+	private long nextAsk;
+
+	ReadinessPoll(FollowSettings settings, RandomGenerator random) {
+		this.settings = settings;
+		this.random = random;
+	}
+
+	/**
+	 * Starts a new round.
+	 * @param now the time in milliseconds
+	 */
+	void start(long now) {
+		this.answers.clear();
+		this.number = this.random.nextLong() >>> 1;
+		this.interval = this.settings.queryInterval();
+		this.nextAsk = now;
+	}
+
+	void setAsked(List<Peer> peers) {
+		this.asked = peers;
+	}
+
+	long nextTick() {
+		return this.nextAsk;
+	}
+
+	void tick(long now, List<FollowEffect> effects) {
+		if (now >= this.nextAsk) {
+			this.nextAsk = now + this.interval;
+			this.interval = Math.min(2 * this.interval, MAXIMUM_INTERVAL);
+			for (Peer peer : this.asked) {
+				if (!this.answers.containsKey(peer.address())) {
+					effects.add(new FollowEffect.Send(peer.address(), new ManifestMessage.Query(this.number)));
+				}
+			}
+		}
+	}
+
+	void answered(HostAddress from, ManifestMessage.QueryReply reply) {
+		if (reply.number() == this.number) {
+			this.answers.put(from, new Answer(reply.stamp().version(), reply.ready()));
+		}
+	}
+
+	int answerCount() {
+		return (int) this.asked.stream().filter((peer) -> this.answers.containsKey(peer.address())).count();
+	}
+
+	int askedCount() {
+		return this.asked.size();
+	}
+
+	/**
+	 * Returns whether enough members have answered.
+	 * @return whether the answers include one of every majority of the region
+	 */
+	boolean isComplete() {
+		int quorum = (this.asked.size() + 1) / 2 + 1;
+		long ready = this.asked.stream().filter((peer) -> {
+			Answer answer = this.answers.get(peer.address());
+			return answer != null && answer.ready;
+		}).count();
+		return ready >= quorum || answerCount() == this.asked.size();
+	}
+
+	/**
+	 * Returns the highest version that a live member has answered.
+	 * @return the version, 0 for none
+	 */
+	long highestVersion() {
+		long highest = 0;
+		for (Peer peer : this.asked) {
+			Answer answer = this.answers.get(peer.address());
+			highest = (answer != null) ? Math.max(highest, answer.version) : highest;
+		}
+		return highest;
+	}
+
+	private record Answer(long version, boolean ready) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/StoreReader.java
@@ -0,0 +1,107 @@
+package org.wigeonmast.manifest.follow;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * The calls of one reader to the store: a read of the index, then one watch after the
+ * other.
+ * <p>
+ * Thread safety: none. Invariants: at most one call for the index is open; a call without
+ * an answer is given up after its timeout, so a connection that went silent delays a
+ * change by no more than a short watch.
+ */
+final class StoreReader {
+
+	/** Least time between calls, for a store that answers watches at once. */
+	private static final long SPACING = 200;
+
+	private final FollowSettings settings;
+
+	private final RandomGenerator random;
+
+	private boolean active;
+
+	private boolean waiting;
+
+	private boolean failing;
+
+	private String knownHash = "";
+
+	private long due;
+
+	private long lastCall = -SPACING;
+
+	StoreReader(FollowSettings settings, RandomGenerator random) {
+		this.settings = settings;
+		this.random = random;
+	}
+
+	boolean isFailing() {
+		return this.active && this.failing;
+	}
+
+	void setActive(long now, boolean value) {
+		if (value != this.active) {
+			this.active = value;
+			restart(now);
+		}
+	}
+
+	void restart(long now) {
+		this.waiting = false;
+		this.knownHash = "";
+		this.due = now;
+	}
+
+	long nextTick() {
+		return (this.active) ? this.due : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Makes the next call if it is due.
+	 * @param now the time in milliseconds
+	 * @param effects receives the call
+	 * @return whether the open call was given up
+	 */
+	boolean tick(long now, List<FollowEffect> effects) {
+		if (!this.active || now < this.due) {
+			return false;
+		}
+		if (this.waiting) {
+			failed(now);
+			return true;
+		}
+		this.waiting = true;
+		this.lastCall = now;
+		if (this.knownHash.isEmpty()) {
+			this.due = now + this.settings.storeTimeout();
+			effects.add(new FollowEffect.ReadIndex());
+		}
+		else {
+			this.due = now + this.settings.watchWait() + this.settings.storeTimeout();
+			effects.add(new FollowEffect.WatchIndex(this.knownHash, this.settings.watchWait()));
+		}
+		return false;
+	}
+
+	void answered(long now, String hash) {
+		this.knownHash = hash;
+		unchanged(now);
+	}
+
+	void unchanged(long now) {
+		this.failing = false;
+		this.waiting = false;
+		this.due = Math.max(now, this.lastCall + SPACING);
+	}
+
+	void failed(long now) {
+		this.failing = true;
+		this.waiting = false;
+		this.knownHash = "";
+		long retry = this.settings.storeRetry();
+		this.due = now + retry / 2 + this.random.nextLong(retry);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/VersionFetch.java
@@ -0,0 +1,209 @@
+package org.wigeonmast.manifest.follow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.manifest.ManifestIndex;
+import org.wigeonmast.manifest.ManifestPart;
+
+/**
+ * The collection of the index and the parts of one version.
+ * <p>
+ * Thread safety: none. Invariants: only bytes that have the expected hash and size are
+ * kept; each part is requested from one source at a time.
+ */
+final class VersionFetch {
+
+	private static final int MAXIMUM_SOURCES = 8;
+
+	private static final int ATTEMPTS_PER_SOURCE = 3;
+
+	private final VersionStamp stamp;
+
+	private final long heardAt;
+
+	private final List<HostAddress> localSources = new ArrayList<>();
+
+	private final List<HostAddress> remoteSources = new ArrayList<>();
+
+	private final Map<String, byte[]> parts = new HashMap<>();
+
+	/** When the request for a part, or for the index under its hash, times out. */
+	private final Map<String, Long> requested = new HashMap<>();
+
+	private boolean inStore;
+
+	private byte @Nullable [] indexBytes;
+
+	private @Nullable ManifestIndex index;
+
+	private int attempt;
+
+	private int failures;
+
+	VersionFetch(VersionStamp stamp, long heardAt) {
+		this.stamp = stamp;
+		this.heardAt = heardAt;
+	}
+
+	VersionStamp stamp() {
+		return this.stamp;
+	}
+
+	@Nullable ManifestIndex index() {
+		return this.index;
+	}
+
+	byte @Nullable [] indexBytes() {
+		return this.indexBytes;
+	}
+
+	Map<String, byte[]> parts() {
+		return this.parts;
+	}
+
+	void addSource(HostAddress source, boolean local) {
+		List<HostAddress> sources = (local) ? this.localSources : this.remoteSources;
+		if (sources.size() < MAXIMUM_SOURCES && !sources.contains(source)) {
+			sources.add(source);
+		}
+	}
+
+	void removeSource(HostAddress source) {
+		this.localSources.remove(source);
+		this.remoteSources.remove(source);
+	}
+
+	void setInStore(boolean value) {
+		this.inStore = value;
+	}
+
+	boolean hasSource() {
+		return this.inStore || !this.localSources.isEmpty() || !this.remoteSources.isEmpty();
+	}
+
+	/**
+	 * Returns when fetching may start. Content crosses into a region once: while no
+	 * member of the region has it, all but the first reader wait.
+	 * @param delay the time in milliseconds to leave to others
+	 * @return the time in milliseconds
+	 */
+	long startsAt(long delay) {
+		return (this.localSources.isEmpty()) ? this.heardAt + delay : this.heardAt;
+	}
+
+	/**
+	 * Returns the source of the current attempt.
+	 * @return the address of a peer, or {@code null} for the store
+	 */
+	@Nullable HostAddress source() {
+		List<HostAddress> sources = new ArrayList<>(this.localSources);
+		if (this.inStore) {
+			sources.add(null);
+		}
+		sources.addAll(this.remoteSources);
+		return (sources.isEmpty()) ? null : sources.get(this.attempt % sources.size());
+	}
+
+	void tryNextSource() {
+		this.attempt++;
+		this.failures++;
+		this.requested.clear();
+	}
+
+	boolean isInStore() {
+		return this.inStore;
+	}
+
+	/**
+	 * Returns whether every source has failed repeatedly without delivering anything in
+	 * between.
+	 * @return whether to give up
+	 */
+	boolean isExhausted() {
+		int sources = this.localSources.size() + this.remoteSources.size() + ((this.inStore) ? 1 : 0);
+		return this.failures >= ATTEMPTS_PER_SOURCE * sources;
+	}
+
+	void putIndex(byte[] bytes, ManifestIndex newIndex) {
+		this.indexBytes = bytes;
+		this.index = newIndex;
+		this.failures = 0;
+		this.requested.remove(newIndex.hash());
+	}
+
+	void putPart(String hash, byte[] bytes) {
+		this.parts.put(hash, bytes);
+		this.failures = 0;
+		this.requested.remove(hash);
+	}
+
+	/**
+	 * Takes over those parts that another version has too.
+	 * @param held parts of the other version by hash
+	 */
+	void reuse(Map<String, byte[]> held) {
+		if (this.index != null) {
+			for (ManifestPart part : this.index.parts()) {
+				byte[] bytes = held.get(part.hash());
+				if (bytes != null) {
+					this.parts.putIfAbsent(part.hash(), bytes);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Returns the part with a hash if it is still missing.
+	 * @param hash the hash
+	 * @return the part, or {@code null}
+	 */
+	@Nullable ManifestPart missingPart(String hash) {
+		if (this.index == null || this.parts.containsKey(hash)) {
+			return null;
+		}
+		return this.index.parts().stream().filter((part) -> part.hash().equals(hash)).findFirst().orElse(null);
+	}
+
+	boolean isComplete() {
+		return this.index != null
+				&& this.index.parts().stream().allMatch((part) -> this.parts.containsKey(part.hash()));
+	}
+
+	/**
+	 * Returns the hashes to request now and marks them as requested.
+	 * @param window the greatest number of open requests
+	 * @param deadline when the requests time out
+	 * @return the hash of the index or hashes of parts
+	 */
+	List<String> takeRequests(int window, long deadline) {
+		List<String> hashes = new ArrayList<>();
+		if (this.index == null) {
+			if (this.requested.isEmpty()) {
+				hashes.add(this.stamp.hash());
+			}
+		}
+		else {
+			for (ManifestPart part : this.index.parts()) {
+				if (this.requested.size() + hashes.size() >= window) {
+					break;
+				}
+				if (!this.parts.containsKey(part.hash()) && !this.requested.containsKey(part.hash())
+						&& !hashes.contains(part.hash())) {
+					hashes.add(part.hash());
+				}
+			}
+		}
+		hashes.forEach((hash) -> this.requested.put(hash, deadline));
+		return hashes;
+	}
+
+	long earliestTimeout() {
+		return this.requested.values().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/FailureDetector.java
@@ -0,0 +1,291 @@
+package org.wigeonmast.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.HostAddress;
+
+/**
+ * Probes one random member in each interval, directly and through others, and accuses
+ * those that do not answer.
+ * <p>
+ * Thread safety: none. Invariants: a member is declared dead only by a daemon that itself
+ * failed to reach it, directly and indirectly, and did not reach it later either; a
+ * daemon that heard no relay while a probe failed looks for the fault at itself and tells
+ * nobody.
+ */
+final class FailureDetector {
+
+	private static final int MAXIMUM_RELAYED = 256;
+
+	/** Accused members that are pinged again in each interval. */
+	private static final int REPEATED_PINGS = 4;
+
+	private final MembershipSettings settings;
+
+	private final RandomGenerator random;
+
+	private final MemberTable table;
+
+	private final Actions actions;
+
+	private final Map<String, Accusation> accusations = new LinkedHashMap<>();
+
+	private final Map<Long, Relayed> relayed = new HashMap<>();
+
+	private @Nullable Probe probe;
+
+	private long nextProbe;
+
+	private long nextNumber;
+
+	private long quietUntil;
+
+	FailureDetector(MembershipSettings settings, RandomGenerator random, MemberTable table, Actions actions) {
+		this.settings = settings;
+		this.random = random;
+		this.table = table;
+		this.actions = actions;
+		this.nextNumber = random.nextLong() >>> 1;
+	}
+
+	void start(long now) {
+		// A random phase spreads the probes of daemons that start together.
+		this.nextProbe = now + this.random.nextLong(this.settings.probeInterval());
+	}
+
+	/**
+	 * Forgets the current probe and all accusations and accuses nobody for some time.
+	 * @param until the time in milliseconds until which nobody is accused
+	 */
+	void beQuiet(long until) {
+		this.probe = null;
+		this.accusations.clear();
+		this.quietUntil = until;
+	}
+
+	void endQuiet() {
+		this.quietUntil = 0;
+	}
+
+	long nextTick() {
+		long next = this.nextProbe;
+		if (this.probe != null && !this.probe.answered && !this.probe.repeated) {
+			next = Math.min(next, this.probe.sentAt + this.settings.directTimeout());
+		}
+		return next;
+	}
+
+	void tick(long now) {
+		Probe current = this.probe;
+		if (current != null && !current.answered && !current.repeated
+				&& now >= current.sentAt + this.settings.directTimeout()) {
+			repeat(current);
+		}
+		if (now >= this.nextProbe) {
+			if (current != null && !current.answered) {
+				conclude(now, current);
+			}
+			judge(now);
+			begin(now);
+			this.nextProbe = Math.max(this.nextProbe + this.settings.probeInterval(), now + 1);
+		}
+	}
+
+	long newNumber() {
+		return this.nextNumber++;
+	}
+
+	/**
+	 * Handles an acknowledgement.
+	 * @param now the time in milliseconds
+	 * @param number the number of the ping
+	 * @param sender the sender's record
+	 */
+	void acknowledged(long now, long number, Member sender) {
+		this.accusations.remove(sender.name());
+		Probe current = this.probe;
+		if (current != null && current.number == number) {
+			if (current.name.equals(sender.name())) {
+				current.answered = true;
+			}
+			else {
+				// Another daemon has taken the address over, so the probed one is gone.
+				this.probe = null;
+				this.actions.declareDead(now, current.name);
+			}
+		}
+		Relayed relay = this.relayed.remove(number);
+		if (relay != null) {
+			this.actions.replyIndirectly(relay.origin, relay.number, sender);
+		}
+	}
+
+	void relay(long now, HostAddress origin, long number, HostAddress target, List<Member> updates) {
+		if (this.relayed.size() >= MAXIMUM_RELAYED) {
+			this.relayed.values().removeIf((relay) -> relay.expires <= now);
+		}
+		if (this.relayed.size() < MAXIMUM_RELAYED) {
+			long ping = newNumber();
+			this.relayed.put(ping, new Relayed(origin, number, now + this.settings.probeInterval()));
+			this.actions.ping(ping, target, (updates.isEmpty()) ? null : updates.getFirst().name());
+		}
+	}
+
+	void relayAnswered(long number, boolean reached) {
+		Probe current = this.probe;
+		if (current != null && current.number == number) {
+			current.relayAnswered = true;
+			current.answered |= reached;
+			if (reached) {
+				this.accusations.remove(current.name);
+			}
+		}
+	}
+
+	/**
+	 * Drops an accusation that was made while the fault could have been this daemon's
+	 * own.
+	 * @param name the name of a member from which a message arrived
+	 */
+	void heard(String name) {
+		Accusation accusation = this.accusations.get(name);
+		if (accusation != null && accusation.silent) {
+			this.accusations.remove(name);
+		}
+	}
+
+	private void begin(long now) {
+		this.probe = null;
+		MemberTable.Entry entry = this.table.randomLive(this.random);
+		if (entry != null) {
+			Probe next = new Probe(newNumber(), entry.member().name(), entry.member().address(), now);
+			this.probe = next;
+			this.actions.ping(next.number, next.address, next.name);
+		}
+	}
+
+	private void repeat(Probe current) {
+		current.repeated = true;
+		this.actions.ping(current.number, current.address, current.name);
+		for (MemberTable.Entry relay : this.table.randomLive(this.random, this.settings.relays(), current.name)) {
+			this.actions.pingIndirectly(relay.member().address(), current.number, current.address, current.name);
+		}
+	}
+
+	private void conclude(long now, Probe failed) {
+		MemberTable.Entry entry = this.table.get(failed.name);
+		if (now < this.quietUntil || entry == null || entry.isDead()) {
+			return;
+		}
+		Accusation earlier = this.accusations.get(failed.name);
+		if (earlier != null && (!earlier.silent || !failed.relayAnswered)) {
+			return;
+		}
+		boolean silent = !failed.relayAnswered;
+		long timeout = (silent) ? this.settings.isolationTimeout() : this.settings.suspicionTimeout();
+		this.accusations.put(failed.name, new Accusation(entry.member(), now + timeout, silent));
+		if (!silent) {
+			this.actions.suspect(now, failed.name);
+		}
+	}
+
+	private void judge(long now) {
+		List<String> ended = new ArrayList<>();
+		int pings = 0;
+		for (Map.Entry<String, Accusation> pair : this.accusations.entrySet()) {
+			String name = pair.getKey();
+			Accusation accusation = pair.getValue();
+			MemberTable.Entry entry = this.table.get(name);
+			if (entry == null || entry.isDead() || !accusation.concerns(entry.member())) {
+				ended.add(name);
+			}
+			else if (now >= accusation.deadline) {
+				ended.add(name);
+				if (accusation.silent) {
+					this.actions.setUnreachable(now, name);
+				}
+				else {
+					this.actions.declareDead(now, name);
+				}
+			}
+			else if (pings++ < REPEATED_PINGS) {
+				this.actions.ping(newNumber(), entry.member().address(), name);
+			}
+		}
+		ended.forEach(this.accusations::remove);
+	}
+
+	/** What the detector asks of the member list. */
+	interface Actions {
+
+		void ping(long number, HostAddress target, @Nullable String name);
+
+		void pingIndirectly(HostAddress relay, long number, HostAddress target, String name);
+
+		void replyIndirectly(HostAddress origin, long number, Member subject);
+
+		void suspect(long now, String name);
+
+		void setUnreachable(long now, String name);
+
+		void declareDead(long now, String name);
+
+	}
+
+	/** The probe of the current interval. */
+	private static final class Probe {
+
+		private final long number;
+
+		private final String name;
+
+		private final HostAddress address;
+
+		private final long sentAt;
+
+		private boolean repeated;
+
+		private boolean answered;
+
+		private boolean relayAnswered;
+
+		private Probe(long number, String name, HostAddress address, long sentAt) {
+			this.number = number;
+			this.name = name;
+			this.address = address;
+			this.sentAt = sentAt;
+		}
+
+	}
+
+	/**
+	 * The claim that a member does not answer.
+	 *
+	 * @param member the record that was accused; a higher revision refutes
+	 * @param deadline when the member is declared dead
+	 * @param silent whether nobody else is told
+	 */
+	private record Accusation(Member member, long deadline, boolean silent) {
+
+		boolean concerns(Member current) {
+			return this.member.id().equals(current.id()) && this.member.revision() == current.revision();
+		}
+	}
+
+	/**
+	 * A ping on behalf of another daemon.
+	 *
+	 * @param origin the other daemon
+	 * @param number the number that it gave
+	 * @param expires when it no longer waits
+	 */
+	private record Relayed(HostAddress origin, long number, long expires) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -0,0 +1,491 @@
+package org.wigeonmast.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.AuditKind;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.Step;
+import org.wigeonmast.manifest.follow.VersionStamp;
+import org.wigeonmast.membership.MemberTable.Entry;
+
+/**
+ * The members of the fleet as one daemon sees them, kept by probes and gossip (SWIM).
+ * <p>
+ * Thread safety: none; the control thread owns it. Invariants: the cost of a message does
+ * not grow with the fleet, apart from exchanges of all records, which are rare; a record
+ * is replaced only as {@link Member#replaces(Member)} says; a daemon that was paused, or
+ * that no relay answers, accuses nobody towards others.
+ * <p>
+ * Wiring: give every message of this slice as {@link MembershipInput.Received}, the seeds
+ * as {@link MembershipInput.SeedsChanged} at the start and whenever the host list
+ * changes, and call {@link #tick(long)} at {@link #nextTick()}. On
+ * {@link MembershipEffect.MembersChanged} give {@link #live()} to
+ * {@link org.wigeonmast.membership.ownership.Ownership#update Ownership.update} and the
+ * peers made of it to the manifest follower. Pass {@link MembershipEffect.ManifestHeard}
+ * to the follower as an announcement, its {@code Apply} back as
+ * {@link MembershipInput.ManifestInForce}, and {@link MembershipEffect.Resumed} to every
+ * component that has a rule for pauses.
+ */
+public final class MembershipList implements Component<MembershipInput, MembershipEffect> {
+
+	/** Time between exchanges of all records with members that returned. */
+	private static final long RETURN_SYNC_INTERVAL = 10_000;
+
+	private final MembershipSettings settings;
+
+	private final RandomGenerator random;
+
+	private final MemberTable table;
+
+	private final UpdateQueue updates = new UpdateQueue();
+
+	private final FailureDetector detector;
+
+	private Member self;
+
+	private VersionStamp manifest = VersionStamp.NONE;
+
+	private List<HostAddress> seeds = List.of();
+
+	private List<MembershipEffect> effects = new ArrayList<>();
+
+	private boolean changed;
+
+	private boolean started;
+
+	private boolean joined;
+
+	private boolean isolated;
+
+	private long startedAt;
+
+	private long lastHeard;
+
+	private long nextJoin;
+
+	private long nextGossip;
+
+	private long nextReconnect;
+
+	private long nextSync;
+
+	private long nextReturnSync;
+
+	/**
+	 * Creates a member list that knows only this daemon.
+	 * @param self the record of this daemon, with revision 0, starting and live; its
+	 * incarnation must be higher than that of any earlier start under this name
+	 * @param settings times and bounds
+	 * @param random random numbers, seeded in tests
+	 */
+	public MembershipList(Member self, MembershipSettings settings, RandomGenerator random) {
+		this.self = self;
+		this.settings = settings;
+		this.random = random;
+		this.table = new MemberTable(self.region());
+		this.detector = new FailureDetector(settings, random, this.table, new DetectorActions());
+	}
+
+	/**
+	 * Returns the record of this daemon.
+	 * @return the record
+	 */
+	public Member self() {
+		return this.self;
+	}
+
+	/**
+	 * Returns all members that count as live, this daemon included, suspected and leaving
+	 * ones too.
+	 * @return the records
+	 */
+	public List<Member> live() {
+		List<Member> members = this.table.live(true);
+		members.add(this.self);
+		return members;
+	}
+
+	/**
+	 * Returns whether this daemon has joined the fleet or has given up waiting.
+	 * @return whether the view is complete as far as it can be
+	 */
+	public boolean joined() {
+		return this.joined;
+	}
+
+	@Override
+	public List<MembershipEffect> handle(long now, MembershipInput input) {
+		begin(now);
+		switch (input) {
+			case MembershipInput.Received received -> receive(now, received.from(), received.message());
+			case MembershipInput.SeedsChanged change -> this.seeds = change.addresses();
+			case MembershipInput.PhaseChanged change -> publish(now, change.phase());
+			case MembershipInput.ManifestInForce inForce -> this.manifest = inForce.stamp();
+			case MembershipInput.Stopped stopped -> sayFarewell();
+		}
+		return drain();
+	}
+
+	@Override
+	public List<MembershipEffect> tick(long now) {
+		begin(now);
+		if (!this.joined && now >= this.nextJoin) {
+			join(now);
+		}
+		this.detector.tick(now);
+		if (now >= this.nextGossip) {
+			this.nextGossip = now + this.settings.gossipInterval();
+			push();
+		}
+		if (now >= this.nextReconnect) {
+			this.nextReconnect = now + this.settings.reconnectInterval();
+			this.table.dropDeadSince(now - this.settings.deadRetention());
+			reconnect();
+			checkIsolation(now);
+		}
+		if (now >= this.nextSync) {
+			this.nextSync = now + randomSyncDelay();
+			Entry entry = this.table.randomLive(this.random);
+			if (entry != null) {
+				send(entry.member().address(), new MembershipMessage.SyncRequest(this.self, List.of()));
+			}
+		}
+		return drain();
+	}
+
+	@Override
+	public long nextTick() {
+		if (!this.started) {
+			return 0;
+		}
+		long next = Math.min(this.detector.nextTick(), Math.min(this.nextReconnect, this.nextSync));
+		if (this.updates.hasNew()) {
+			next = Math.min(next, this.nextGossip);
+		}
+		return (this.joined) ? next : Math.min(next, this.nextJoin);
+	}
+
+	private void begin(long now) {
+		if (!this.started) {
+			this.started = true;
+			this.startedAt = now;
+			this.lastHeard = now;
+			this.nextReconnect = now + this.random.nextLong(this.settings.reconnectInterval());
+			this.nextSync = now + randomSyncDelay();
+			this.detector.start(now);
+			return;
+		}
+		long late = now - nextTick();
+		if (late > this.settings.pauseThreshold()) {
+			resume(now, late);
+		}
+	}
+
+	private void resume(long now, long late) {
+		report(MembershipEvent.PAUSED, late);
+		this.effects.add(new MembershipEffect.Resumed(late));
+		this.detector.beQuiet(now + this.settings.joinTimeout());
+		this.lastHeard = now;
+		this.nextReconnect = now;
+		this.nextSync = Math.max(this.nextSync, now);
+		for (Entry entry : this.table.randomLive(this.random, this.settings.relays(), null)) {
+			send(entry.member().address(), new MembershipMessage.SyncRequest(this.self, List.of()));
+		}
+	}
+
+	private long randomSyncDelay() {
+		return this.settings.syncInterval() / 2 + this.random.nextLong(this.settings.syncInterval());
+	}
+
+	private void join(long now) {
+		if (now - this.startedAt >= this.settings.joinTimeout()) {
+			this.joined = true;
+			this.effects.add(new MembershipEffect.Joined(false));
+			report(MembershipEvent.ALONE, this.settings.joinTimeout());
+			return;
+		}
+		this.nextJoin = now + this.settings.joinRetry();
+		for (int i = 0; i < this.settings.relays(); i++) {
+			HostAddress seed = randomSeed();
+			if (seed != null) {
+				send(seed, new MembershipMessage.SyncRequest(this.self, List.of()));
+			}
+		}
+	}
+
+	private @Nullable HostAddress randomSeed() {
+		HostAddress seed = (this.seeds.isEmpty()) ? null : this.seeds.get(this.random.nextInt(this.seeds.size()));
+		return this.self.address().equals(seed) ? null : seed;
+	}
+
+	private void reconnect() {
+		Entry entry = this.table.randomDead(this.random);
+		HostAddress seed = randomSeed();
+		if (entry != null && (seed == null || this.random.nextBoolean())) {
+			ping(this.detector.newNumber(), entry.member().address(), entry.member().name());
+		}
+		else if (seed != null && this.table.live(true).stream().noneMatch((member) -> member.address().equals(seed))) {
+			ping(this.detector.newNumber(), seed, null);
+		}
+	}
+
+	private void checkIsolation(long now) {
+		boolean silent = this.table.liveCount() > 0 && now - this.lastHeard >= this.settings.isolationTimeout();
+		if (silent != this.isolated) {
+			this.isolated = silent;
+			report((silent) ? MembershipEvent.ISOLATED : MembershipEvent.CONNECTED, now - this.lastHeard);
+		}
+	}
+
+	private void push() {
+		if (!this.updates.hasNew() || this.table.liveCount() == 0) {
+			return;
+		}
+		List<Member> news = takeUpdates(null);
+		for (Entry entry : this.table.randomLive(this.random, this.settings.gossipFanOut(), null)) {
+			send(entry.member().address(), new MembershipMessage.Gossip(this.self, news));
+		}
+	}
+
+	private void publish(long now, MemberPhase phase) {
+		if (phase != this.self.phase()) {
+			this.self = this.self.published(this.self.revision() + 1, phase);
+			this.updates.add(this.self);
+			this.changed = true;
+			audit(now, this.self, Map.of("phase", phase.toString()));
+		}
+	}
+
+	private void sayFarewell() {
+		this.self = this.self.published(this.self.revision() + 1, MemberPhase.LEAVING).withStatus(MemberStatus.DEAD);
+		for (Entry entry : this.table.randomLive(this.random, 2 * this.settings.gossipFanOut(), null)) {
+			send(entry.member().address(), new MembershipMessage.Gossip(this.self, List.of()));
+		}
+	}
+
+	private void receive(long now, HostAddress from, MembershipMessage message) {
+		Member sender = message.sender();
+		if (sender.name().equals(this.self.name())) {
+			merge(now, sender);
+			return;
+		}
+		this.lastHeard = now;
+		Entry known = this.table.get(sender.name());
+		boolean returned = known == null || known.isDead();
+		hear(now, sender);
+		message.updates().forEach((update) -> merge(now, update));
+		switch (message) {
+			case MembershipMessage.Ping ping -> {
+				send(from, new MembershipMessage.Acknowledgement(ping.number(), this.self, this.manifest,
+						takeUpdates(sender.name())));
+				this.effects.add(new MembershipEffect.ManifestHeard(from, ping.manifest()));
+			}
+			case MembershipMessage.Acknowledgement answer -> {
+				this.detector.acknowledged(now, answer.number(), sender);
+				this.effects.add(new MembershipEffect.ManifestHeard(from, answer.manifest()));
+				if (returned) {
+					syncWithReturned(now, from);
+				}
+			}
+			case MembershipMessage.IndirectPing ping -> {
+				send(from, new MembershipMessage.IndirectReply(ping.number(), this.self, takeUpdates(sender.name()),
+						false));
+				this.detector.relay(now, from, ping.number(), ping.target(), ping.updates());
+			}
+			case MembershipMessage.IndirectReply reply -> this.detector.relayAnswered(reply.number(), reply.reached());
+			case MembershipMessage.Gossip gossip -> {
+			}
+			case MembershipMessage.SyncRequest request -> sendAll(from);
+			case MembershipMessage.SyncReply reply -> synced(reply);
+		}
+	}
+
+	private void hear(long now, Member sender) {
+		merge(now, sender);
+		this.detector.heard(sender.name());
+		Entry entry = this.table.get(sender.name());
+		if (entry != null && entry.unreachable()) {
+			entry.setUnreachable(false);
+			this.changed = true;
+			report(MembershipEvent.LIVE, sender.id());
+		}
+	}
+
+	private void syncWithReturned(long now, HostAddress from) {
+		if (now >= this.nextReturnSync) {
+			this.nextReturnSync = now + RETURN_SYNC_INTERVAL;
+			send(from, new MembershipMessage.SyncRequest(this.self, List.of()));
+		}
+	}
+
+	private void sendAll(HostAddress to) {
+		List<Member> all = this.table.live(false);
+		int page = this.settings.syncPage();
+		for (int start = 0; start == 0 || start < all.size(); start += page) {
+			int end = Math.min(start + page, all.size());
+			send(to, new MembershipMessage.SyncReply(this.self, all.subList(start, end), end == all.size()));
+		}
+	}
+
+	private void synced(MembershipMessage.SyncReply reply) {
+		if (reply.last()) {
+			this.detector.endQuiet();
+			if (!this.joined) {
+				this.joined = true;
+				this.effects.add(new MembershipEffect.Joined(true));
+				report(MembershipEvent.JOINED, reply.sender().id(), this.table.liveCount());
+			}
+		}
+	}
+
+	private void merge(long now, Member record) {
+		if (record.name().equals(this.self.name())) {
+			refute(now, record);
+			return;
+		}
+		Entry entry = this.table.get(record.name());
+		if (entry == null) {
+			if (record.status() == MemberStatus.DEAD) {
+				return;
+			}
+			if (this.table.size() >= this.settings.maximumMembers()) {
+				report(MembershipEvent.TABLE_FULL, record.id(), this.table.size());
+				return;
+			}
+			replace(now, null, record);
+		}
+		else if (record.replaces(entry.member())) {
+			replace(now, entry.member(), record);
+		}
+	}
+
+	private void replace(long now, @Nullable Member old, Member record) {
+		this.table.put(now, record);
+		this.updates.add(record);
+		this.changed = true;
+		boolean dead = record.status() == MemberStatus.DEAD;
+		if (old == null || !old.id().equals(record.id()) || dead != (old.status() == MemberStatus.DEAD)) {
+			report((dead) ? MembershipEvent.DEAD : MembershipEvent.LIVE, record.id());
+			audit(now, record, Map.of("status", record.status().toString(), "phase", record.phase().toString()));
+		}
+		else if (record.phase() != old.phase()) {
+			if (record.phase() == MemberPhase.LEAVING) {
+				report(MembershipEvent.LEAVING, record.id());
+			}
+			audit(now, record, Map.of("phase", record.phase().toString()));
+		}
+	}
+
+	private void refute(long now, Member record) {
+		if (!record.address().equals(this.self.address())) {
+			report(MembershipEvent.DUPLICATE_NAME, record.name(), record.address(), this.self.address());
+		}
+		boolean sameStart = record.id().equals(this.self.id());
+		if (sameStart && record.status() != MemberStatus.LIVE && record.revision() >= this.self.revision()) {
+			this.self = this.self.published(record.revision() + 1, this.self.phase());
+			this.updates.add(this.self);
+			report(MembershipEvent.REFUTED, record.status(), this.self.revision());
+			audit(now, this.self, Map.of("refuted", record.status().toString()));
+		}
+	}
+
+	private void ping(long number, HostAddress target, @Nullable String name) {
+		send(target, new MembershipMessage.Ping(number, this.self, this.manifest, takeUpdates(name)));
+	}
+
+	/**
+	 * Takes records for a message. The record of the receiver or subject goes first when
+	 * it is not live, so that it learns of it and can refute.
+	 * @param name the name of the receiver or subject, if known
+	 * @return the records
+	 */
+	private List<Member> takeUpdates(@Nullable String name) {
+		List<Member> taken = this.updates.take(this.settings.updatesPerMessage(), this.table.liveCount());
+		Entry entry = (name != null) ? this.table.get(name) : null;
+		if (entry != null && entry.member().status() != MemberStatus.LIVE) {
+			taken.remove(entry.member());
+			taken.addFirst(entry.member());
+		}
+		return taken;
+	}
+
+	private void send(HostAddress to, MembershipMessage message) {
+		this.effects.add(new MembershipEffect.Send(to, message));
+	}
+
+	private void report(MembershipEvent event, Object... parameters) {
+		this.effects.add(new MembershipEffect.Report(event, List.of(parameters)));
+	}
+
+	private void audit(long now, Member member, Map<String, String> evidence) {
+		this.effects.add(new MembershipEffect.Audit(new AuditEntry(now, AuditKind.MEMBER, member.id().toString(),
+				Step.MEMBERSHIP, this.self.name(), evidence)));
+	}
+
+	private List<MembershipEffect> drain() {
+		if (this.changed) {
+			this.changed = false;
+			this.effects.add(new MembershipEffect.MembersChanged());
+		}
+		List<MembershipEffect> result = this.effects;
+		this.effects = new ArrayList<>();
+		return result;
+	}
+
+	/** Carries out what the failure detector decides. */
+	private final class DetectorActions implements FailureDetector.Actions {
+
+		@Override
+		public void ping(long number, HostAddress target, @Nullable String name) {
+			MembershipList.this.ping(number, target, name);
+		}
+
+		@Override
+		public void pingIndirectly(HostAddress relay, long number, HostAddress target, String name) {
+			Entry entry = MembershipList.this.table.get(name);
+			List<Member> subject = (entry != null) ? List.of(entry.member()) : List.of();
+			send(relay, new MembershipMessage.IndirectPing(number, MembershipList.this.self, target, subject));
+		}
+
+		@Override
+		public void replyIndirectly(HostAddress origin, long number, Member subject) {
+			send(origin, new MembershipMessage.IndirectReply(number, MembershipList.this.self, List.of(subject), true));
+		}
+
+		@Override
+		public void suspect(long now, String name) {
+			judge(now, name, MemberStatus.SUSPECTED);
+		}
+
+		@Override
+		public void declareDead(long now, String name) {
+			judge(now, name, MemberStatus.DEAD);
+		}
+
+		@Override
+		public void setUnreachable(long now, String name) {
+			Entry entry = MembershipList.this.table.get(name);
+			if (entry != null && !entry.unreachable()) {
+				entry.setUnreachable(true);
+				MembershipList.this.changed = true;
+				report(MembershipEvent.DEAD, entry.member().id());
+				audit(now, entry.member(), Map.of("status", "unreachable from here"));
+			}
+		}
+
+		private void judge(long now, String name, MemberStatus status) {
+			Entry entry = MembershipList.this.table.get(name);
+			if (entry != null) {
+				merge(now, entry.member().withStatus(status));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipSettings.java
@@ -0,0 +1,41 @@
+package org.wigeonmast.membership;
+
+/**
+ * Times and bounds of the {@link MembershipList}.
+ * <p>
+ * Thread safety: immutable. All times are in milliseconds.
+ *
+ * @param probeInterval the time between two probes
+ * @param directTimeout the time after which a probe is repeated and others are asked to
+ * probe, less than the interval
+ * @param relays the number of members that are asked to probe
+ * @param suspicionTimeout the time from a failed probe until the member is declared dead
+ * @param isolationTimeout the time without any answer after which members that do not
+ * answer count as dead in this daemon's own view
+ * @param gossipInterval the time for which changes are collected before they are pushed
+ * @param gossipFanOut the number of members to which changes are pushed
+ * @param updatesPerMessage the greatest number of records that travel with a message
+ * @param reconnectInterval the time between attempts to reach dead members and seeds
+ * @param syncInterval the mean time between exchanges of all records
+ * @param syncPage the greatest number of records in a page
+ * @param joinRetry the time between requests to seeds while joining
+ * @param joinTimeout the time after which joining is given up
+ * @param pauseThreshold the lateness of a timer that shows a pause
+ * @param deadRetention the time for which a dead member is kept
+ * @param maximumMembers the greatest number of members, dead ones included
+ */
+public record MembershipSettings(long probeInterval, long directTimeout, int relays, long suspicionTimeout,
+		long isolationTimeout, long gossipInterval, int gossipFanOut, int updatesPerMessage, long reconnectInterval,
+		long syncInterval, int syncPage, long joinRetry, long joinTimeout, long pauseThreshold, long deadRetention,
+		int maximumMembers) {
+
+	/**
+	 * Returns the settings for a fleet of any size.
+	 * @return the settings
+	 */
+	public static MembershipSettings standard() {
+		return new MembershipSettings(1000, 300, 3, 3000, 10_000, 100, 3, 8, 2000, 600_000, 256, 500, 5000, 2000,
+				900_000, 20_000);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
@@ -0,0 +1,125 @@
+package org.wigeonmast.membership.ownership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.membership.Member;
+import org.wigeonmast.membership.MemberPhase;
+
+/**
+ * Ranks the daemons of a region for each service by rendezvous hashing.
+ * <p>
+ * Thread safety: none; the control thread owns it. Invariants: two daemons with the same
+ * live ready members rank them equally; when a member goes, the order of the others stays
+ * as it was. Two daemons whose views differ may each take a different member for the
+ * owner, themselves included; nothing here prevents that, and nothing that depends on
+ * ownership may assume that it is exclusive.
+ */
+public final class Ownership {
+
+	/** Number of daemons in each region that read the store. */
+	public static final int READERS_PER_REGION = 2;
+
+	private static final String READERS_KEY = "manifest readers";
+
+	private Map<Region, List<Candidate>> ready = Map.of();
+
+	private Map<Region, List<Candidate>> reading = Map.of();
+
+	private final Map<Key, List<Member>> ranks = new HashMap<>();
+
+	private Set<DaemonId> readyIds = Set.of();
+
+	/**
+	 * Replaces the members.
+	 * @param live the live members, this daemon included
+	 */
+	public void update(Collection<Member> live) {
+		this.ready = candidates(live, (member) -> member.phase() == MemberPhase.READY);
+		this.reading = candidates(live, (member) -> member.phase() != MemberPhase.LEAVING);
+		this.ranks.clear();
+	}
+
+	/**
+	 * Returns the live ready members of a region in the order in which they own a
+	 * service.
+	 * @param service the service
+	 * @param region the region
+	 * @return the members, the owner first; empty if none is ready
+	 */
+	public List<Member> rank(ServiceName service, Region region) {
+		return this.ranks.computeIfAbsent(new Key(service, region),
+				(key) -> sorted(service.value(), region, this.ready));
+	}
+
+	/**
+	 * Returns the owner of a service in a region.
+	 * @param service the service
+	 * @param region the region
+	 * @return the owner, or {@code null} if no member of the region is ready
+	 */
+	public @Nullable Member owner(ServiceName service, Region region) {
+		List<Member> rank = rank(service, region);
+		return (rank.isEmpty()) ? null : rank.getFirst();
+	}
+
+	/**
+	 * Returns the daemons of a region that read the store, chosen among all live members
+	 * that are not leaving, so that a region in which none is ready yet has readers.
+	 * @param region the region
+	 * @return at most {@link #READERS_PER_REGION} members in the order of their rank
+	 */
+	public List<Member> readers(Region region) {
+		List<Member> rank = sorted(READERS_KEY, region, this.reading);
+		return List.copyOf(rank.subList(0, Math.min(READERS_PER_REGION, rank.size())));
+	}
+
+	private static Map<Region, List<Candidate>> candidates(Collection<Member> live,
+			java.util.function.Predicate<Member> filter) {
+		Map<Region, List<Candidate>> byRegion = new HashMap<>();
+		for (Member member : live) {
+			if (filter.test(member)) {
+				byRegion.computeIfAbsent(member.region(), (region) -> new ArrayList<>())
+					.add(new Candidate(member, hash(member.name())));
+			}
+		}
+		return byRegion;
+	}
+
+	private static List<Member> sorted(String key, Region region, Map<Region, List<Candidate>> candidates) {
+		long keyHash = hash(key + "/" + region.name());
+		List<Scored> scored = new ArrayList<>();
+		for (Candidate candidate : candidates.getOrDefault(region, List.of())) {
+			scored.add(new Scored(candidate.member, MurmurHash3.hash32(keyHash, candidate.hash)));
+		}
+		scored.sort(Comparator.comparingInt(Scored::score)
+			.reversed()
+			.thenComparing((candidate) -> candidate.member.name()));
+		return scored.stream().map(Scored::member).toList();
+	}
+
+	private static long hash(String text) {
+		return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
+	}
+
+	private record Key(ServiceName service, Region region) {
+	}
+
+	private record Candidate(Member member, long hash) {
+	}
+
+	private record Scored(Member member, int score) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Ownership of services by rendezvous hashing.
+ */
+@NullMarked
+package org.wigeonmast.membership.ownership;
+
+import org.jspecify.annotations.NullMarked;
