--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/PeerMessenger.java
@@ -0,0 +1,155 @@
+package org.wigeonmast.daemon.internal;
+
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.MalformedMessageException;
+import org.wigeonmast.core.MessageCodec;
+import org.wigeonmast.daemon.DaemonEvent;
+import org.wigeonmast.membership.Member;
+import org.wigeonmast.wire.LinkCounts;
+import org.wigeonmast.wire.LinkListenerException;
+import org.wigeonmast.wire.LinkSettings;
+import org.wigeonmast.wire.PeerLinks;
+import org.wigeonmast.wire.Slice;
+
+/**
+ * Carries the messages of all slices between the components of this daemon and those of its peers.
+ * <p>
+ * Thread safety: confined to the control thread, except that messages arrive on the links' threads and are
+ * handed over. Invariant: a message to this daemon itself is delivered later, never within the sending
+ * call, so components are not entered twice.
+ */
+public final class PeerMessenger implements AutoCloseable {
+
+	private final EventLog log = new EventLog(PeerMessenger.class);
+
+	private final ControlThread control;
+
+	private final Map<Slice, Endpoint<?>> endpoints = new EnumMap<>(Slice.class);
+
+	private final Map<DaemonId, HostAddress> directory = new HashMap<>();
+
+	private final PeerLinks links;
+
+	private final Sender self;
+
+	/**
+	 * Opens the links.
+	 * @param control the control thread
+	 * @param settings the settings of the links
+	 * @throws LinkListenerException if the address cannot be bound
+	 */
+	public PeerMessenger(ControlThread control, LinkSettings settings) throws LinkListenerException {
+		this.control = control;
+		this.links = PeerLinks.open(settings, (from, address, slice, content) -> control
+			.execute(() -> receive(new Sender(from, address), slice, content)));
+		this.self = new Sender(settings.self(), this.links.address());
+	}
+
+	/**
+	 * Returns where this daemon accepts links.
+	 * @return the address
+	 */
+	public HostAddress address() {
+		return this.self.address();
+	}
+
+	/**
+	 * Returns the counts of the traffic on the links.
+	 * @return the counts
+	 */
+	public LinkCounts counts() {
+		return this.links.counts();
+	}
+
+	/**
+	 * Registers a slice.
+	 * @param <M> the messages of the slice
+	 * @param slice the slice
+	 * @param codec the codec of its messages
+	 * @param receiver takes messages that arrive, on the control thread
+	 * @return sends messages of the slice
+	 */
+	public <M> SliceEndpoint<M> register(Slice slice, MessageCodec<M> codec, BiConsumer<Sender, M> receiver) {
+		Endpoint<M> endpoint = new Endpoint<>(slice, codec, receiver);
+		this.endpoints.put(slice, endpoint);
+		return endpoint;
+	}
+
+	/**
+	 * Replaces the known members.
+	 * @param members the members
+	 */
+	public void setMembers(Collection<Member> members) {
+		this.directory.clear();
+		members.forEach((member) -> this.directory.put(member.id(), member.address()));
+	}
+
+	@Override
+	public void close() {
+		this.links.close();
+	}
+
+	private void receive(Sender from, Slice slice, byte[] content) {
+		Endpoint<?> endpoint = this.endpoints.get(slice);
+		if (endpoint != null) {
+			endpoint.receive(from, content);
+		}
+	}
+
+	private final class Endpoint<M> implements SliceEndpoint<M> {
+
+		private final Slice slice;
+
+		private final MessageCodec<M> codec;
+
+		private final BiConsumer<Sender, M> receiver;
+
+		private Endpoint(Slice slice, MessageCodec<M> codec, BiConsumer<Sender, M> receiver) {
+			this.slice = slice;
+			this.codec = codec;
+			this.receiver = receiver;
+		}
+
+		@Override
+		public void send(HostAddress to, M message) {
+			if (to.equals(PeerMessenger.this.self.address())) {
+				PeerMessenger.this.control.execute(() -> this.receiver.accept(PeerMessenger.this.self, message));
+			}
+			else {
+				PeerMessenger.this.links.send(to, this.slice, this.codec.encode(message));
+			}
+		}
+
+		@Override
+		public void send(DaemonId to, M message) {
+			HostAddress address = to.equals(PeerMessenger.this.self.id()) ? PeerMessenger.this.self.address()
+					: PeerMessenger.this.directory.get(to);
+			if (address != null) {
+				send(address, message);
+			}
+			else {
+				PeerMessenger.this.log.log(DaemonEvent.PEER_UNKNOWN, to);
+			}
+		}
+
+		private void receive(Sender from, byte[] content) {
+			try {
+				this.receiver.accept(from, this.codec.decode(content));
+			}
+			catch (MalformedMessageException exception) {
+				PeerMessenger.this.log.log(DaemonEvent.MESSAGE_REJECTED, this.slice, from.id(),
+						exception.getMessage());
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/StoreShell.java
@@ -0,0 +1,130 @@
+package org.wigeonmast.daemon.internal;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import org.wigeonmast.manifest.follow.ContentHash;
+import org.wigeonmast.manifest.follow.FollowInput;
+import org.wigeonmast.manifest.store.ConfigurationStoreClient;
+import org.wigeonmast.manifest.store.HostListReader;
+import org.wigeonmast.manifest.store.PlatformHost;
+import org.wigeonmast.manifest.store.StoreReply;
+
+/**
+ * Carries out the calls to the configuration store that the manifest follower asks for, and reads the host
+ * list.
+ * <p>
+ * Thread safety: confined to the control thread; replies are handed over to it.
+ */
+final class StoreShell implements AutoCloseable {
+
+	/** Time in milliseconds until the host list is read again after a failure. */
+	private static final long HOSTS_RETRY_MILLISECONDS = 5000;
+
+	private final ControlThread control;
+
+	private final ConfigurationStoreClient client;
+
+	private final HostListReader hostListReader = new HostListReader();
+
+	private final Consumer<FollowInput> follower;
+
+	private String indexHash = "";
+
+	private String indexTag = "";
+
+	private String hostsTag = "";
+
+	private boolean closed;
+
+	StoreShell(ControlThread control, ConfigurationStoreClient client, Consumer<FollowInput> follower) {
+		this.control = control;
+		this.client = client;
+		this.follower = follower;
+	}
+
+	void readIndex() {
+		onReply(this.client.readIndex(), this::indexRead);
+	}
+
+	void watchIndex(String knownHash) {
+		// Without the tag of the known index a watch would return at once, which is what reading does.
+		boolean tagged = knownHash.equals(this.indexHash) && !this.indexTag.isEmpty();
+		onReply(tagged ? this.client.watchIndex(this.indexTag) : this.client.readIndex(), this::indexRead);
+	}
+
+	void readPart(String hash) {
+		onReply(this.client.readPart(hash), (reply) -> this.follower.accept(switch (reply) {
+			case StoreReply.Document document -> new FollowInput.StorePart(hash, document.bytes());
+			case StoreReply.Unchanged unchanged ->
+				new FollowInput.StorePartFailed(hash, "the store sent no content");
+			case StoreReply.Failed failed ->
+				new FollowInput.StorePartFailed(hash, String.valueOf(failed.cause().getMessage()));
+		}));
+	}
+
+	/**
+	 * Reads the host list, and then watches it for as long as the condition holds.
+	 * @param keepWatching whether to go on; takes the hosts of each list
+	 * @param hosts takes the hosts
+	 */
+	void watchHosts(BooleanSupplier keepWatching, Consumer<List<PlatformHost>> hosts) {
+		onReply(this.client.watchHosts(this.hostsTag), (reply) -> {
+			long delay = 0;
+			switch (reply) {
+				case StoreReply.Document document -> {
+					this.hostsTag = document.entityTag();
+					this.hostListReader.read(document.bytes()).forEach(hosts);
+					delay = this.hostsTag.isEmpty() ? HOSTS_RETRY_MILLISECONDS : 0;
+				}
+				case StoreReply.Unchanged unchanged -> {
+				}
+				case StoreReply.Failed failed -> delay = HOSTS_RETRY_MILLISECONDS;
+			}
+			boolean failed = reply instanceof StoreReply.Failed;
+			this.control.schedule(delay, () -> watchHostsAgain(failed, keepWatching, hosts));
+		});
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.client.close();
+	}
+
+	private void watchHostsAgain(boolean failed, BooleanSupplier keepWatching,
+			Consumer<List<PlatformHost>> hosts) {
+		if (failed || keepWatching.getAsBoolean()) {
+			watchHosts(keepWatching, hosts);
+		}
+		else {
+			this.control.schedule(HOSTS_RETRY_MILLISECONDS, () -> watchHostsAgain(false, keepWatching, hosts));
+		}
+	}
+
+	private void indexRead(StoreReply reply) {
+		switch (reply) {
+			case StoreReply.Document document -> {
+				this.indexHash = ContentHash.of(document.bytes());
+				this.indexTag = document.entityTag();
+				this.follower.accept(new FollowInput.StoreIndex(document.bytes()));
+			}
+			case StoreReply.Unchanged unchanged -> this.follower.accept(new FollowInput.StoreUnchanged());
+			case StoreReply.Failed failed ->
+				this.follower.accept(new FollowInput.StoreFailed(String.valueOf(failed.cause().getMessage())));
+		}
+	}
+
+	private void onReply(CompletableFuture<StoreReply> call, Consumer<StoreReply> handler) {
+		BiConsumer<StoreReply, Throwable> handOver = (reply, failure) -> this.control.execute(() -> {
+			if (!this.closed && reply != null) {
+				handler.accept(reply);
+			}
+		});
+		call.whenComplete(handOver);
+	}
+
+}
--- a/wigeonmast-wire/src/main/java/org/wigeonmast/wire/MessageListener.java
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/MessageListener.java
@@ -1,6 +1,7 @@
 package org.wigeonmast.wire;
 
 import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.HostAddress;
 
 /**
  * Takes the messages that arrive on links.
@@ -14,9 +15,10 @@
 	/**
 	 * Takes a message of an authenticated daemon.
 	 * @param from the sender
+	 * @param address where the sender accepts links, as it states itself
 	 * @param slice the slice
 	 * @param content the encoded message
 	 */
-	void received(DaemonId from, Slice slice, byte[] content);
+	void received(DaemonId from, HostAddress address, Slice slice, byte[] content);
 
 }
--- a/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/AcceptedLinkHandler.java
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/AcceptedLinkHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.wire.LinkRejectedException;
 import org.wigeonmast.wire.LinkSettings;
 import org.wigeonmast.wire.MessageListener;
@@ -27,6 +28,8 @@
 
 	private @Nullable DaemonId peer;
 
+	private @Nullable HostAddress address;
+
 	private @Nullable LinkAuthenticator receiving;
 
 	private @Nullable LinkAuthenticator sending;
@@ -59,6 +62,7 @@
 		this.receiving = authenticator;
 		this.sending = new LinkAuthenticator(settings().key(), connector, acceptor);
 		this.peer = new DaemonId(connector.getDaemonName(), connector.getIncarnation());
+		this.address = new HostAddress(connector.getPeerAddress(), connector.getPeerPort());
 		Hello proven = acceptor.toBuilder().setProof(ByteString.copyFrom(authenticator.acceptorProof())).build();
 		context.writeAndFlush(LinkFrames.encode(proven));
 	}
@@ -75,7 +79,8 @@
 	private void deliver(ChannelHandlerContext context, Payload payload) {
 		LinkAuthenticator authenticator = this.sending;
 		DaemonId from = this.peer;
-		if (authenticator == null || from == null) {
+		HostAddress fromAddress = this.address;
+		if (authenticator == null || from == null || fromAddress == null) {
 			return;
 		}
 		if (payload.getSlice() == KEEP_ALIVE) {
@@ -87,7 +92,7 @@
 			log().log(WireEvent.SLICE_UNKNOWN, payload.getSlice(), from);
 			return;
 		}
-		this.listener.received(from, slice, payload.getContent().toByteArray());
+		this.listener.received(from, fromAddress, slice, payload.getContent().toByteArray());
 	}
 
 	@Override
--- a/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
+++ b/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
@@ -31,9 +31,9 @@
 	private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
 
 	private final PeerLinks receiver = open("receiver", KEY, 0,
-			(from, slice, content) -> this.received.add(new Received(from, slice, content)));
+			(from, address, slice, content) -> this.received.add(new Received(from, slice, content)));
 
-	private final PeerLinks sender = open("sender", KEY, 0, (from, slice, content) -> {
+	private final PeerLinks sender = open("sender", KEY, 0, (from, address, slice, content) -> {
 	});
 
 	PeerLinksTests() throws LinkListenerException {
@@ -74,7 +74,7 @@
 	@Test
 	void peerWithAnotherKeyIsNotHeard() throws Exception {
 		SharedKey otherKey = new SharedKey("another key here".getBytes(StandardCharsets.US_ASCII));
-		try (PeerLinks stranger = open("stranger", otherKey, 0, (from, slice, content) -> {
+		try (PeerLinks stranger = open("stranger", otherKey, 0, (from, address, slice, content) -> {
 		})) {
 			stranger.send(this.receiver.address(), Slice.DISPATCH, new byte[] { 1 });
 			this.sender.send(this.receiver.address(), Slice.DISPATCH, new byte[] { 2 });
@@ -127,7 +127,7 @@
 	private PeerLinks tryOpen(int port) {
 		try {
 			return open("receiver", KEY, port,
-					(from, slice, content) -> this.received.add(new Received(from, slice, content)));
+					(from, address, slice, content) -> this.received.add(new Received(from, slice, content)));
 		}
 		catch (LinkListenerException exception) {
 			return null;
