--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/AllocatorInput.java
@@ -0,0 +1,56 @@
+package org.wigeonmast.dispatch;
+
+import java.util.List;
+
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.manifest.Service;
+
+/**
+ * An input of a {@link SlotAllocator}.
+ * <p>
+ * Thread safety: immutable.
+ */
+public sealed interface AllocatorInput {
+
+	/**
+	 * A message of a daemon: {@link DispatchMessage.SlotRequest},
+	 * {@link DispatchMessage.SlotCancel}, {@link DispatchMessage.SlotRelease} or
+	 * {@link DispatchMessage.OutcomeReport}; others are ignored.
+	 *
+	 * @param sender the sender
+	 * @param message the message
+	 */
+	record Received(DaemonId sender, DispatchMessage message) implements AllocatorInput {
+	}
+
+	/**
+	 * The manifest in force changed the service.
+	 *
+	 * @param service the service of the same name
+	 */
+	record ServiceChanged(Service service) implements AllocatorInput {
+	}
+
+	/**
+	 * The judgement about the region's servers changed; servers that are not named are in
+	 * service with full weight.
+	 *
+	 * @param servers the judgement, which is passed on to entry daemons
+	 */
+	record HealthChanged(List<DispatchMessage.AdvisedServer> servers) implements AllocatorInput {
+
+		public HealthChanged {
+			servers = List.copyOf(servers);
+		}
+
+	}
+
+	/**
+	 * A daemon was declared dead, or was replaced by one with a higher incarnation.
+	 *
+	 * @param daemon the daemon
+	 */
+	record DaemonDead(DaemonId daemon) implements AllocatorInput {
+	}
+
+}
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchEvent.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchEvent.java
@@ -26,8 +26,8 @@
 	REPORT_MISSING(503, Level.ERROR, "attempt {} of request {} at {} had no report {} ms after its deadline",
 			"Report a fault of the proxy; the request was answered as unknown."),
 
-	/** A register could not vouch for keys. */
-	REGISTER_INCOMPLETE(504, Level.WARN, "the register of {} cannot vouch for keys older than {} ms",
+	/** A register dropped keys. */
+	REGISTER_INCOMPLETE(504, Level.WARN, "the register of {} exceeded {} keys and dropped the oldest",
 			"Nothing to do; repeats with older keys are refused as unknown until the key lifetime has passed.");
 
 	private final int number;
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchMessage.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchMessage.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.CallerId;
+import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.ServiceName;
 import org.wigeonmast.health.ServerHealth;
 import org.wigeonmast.manifest.WorkClass;
@@ -178,21 +179,57 @@
 	}
 
 	/**
-	 * Tells the owner how the request with a key ended.
+	 * Tells an owner how the request that a registration or query was for ended. It is
+	 * ignored if the key is held by another registration.
 	 *
+	 * @param query the number of the registration or query
 	 * @param service the service
 	 * @param key the key
 	 * @param outcome the outcome
 	 */
-	record KeyOutcome(ServiceName service, String key, KeyResult outcome) implements DispatchMessage {
+	record KeyOutcome(long query, ServiceName service, String key, KeyResult outcome) implements DispatchMessage {
 	}
 
 	/**
-	 * Hands a part of a register to the next owner.
+	 * Asks a daemon of the same region to promise that it accepts no other keeper of the
+	 * register for one lease.
+	 *
+	 * @param service the service
+	 * @param round the number of the request, unique for one start of the sender
+	 * @param predecessor the keeper that handed its register to the sender, if any
+	 */
+	record TenureRequest(ServiceName service, long round, @Nullable DaemonId predecessor) implements DispatchMessage {
+	}
+
+	/**
+	 * Answers a request for tenure.
+	 *
+	 * @param service the service
+	 * @param round the number of the request
+	 * @param promised whether the promise is given
+	 * @param exclusiveFor the time for which no promise to a daemon other than the asking
+	 * one and its predecessor was in force here, as far as this daemon remembers
+	 */
+	record TenureReply(ServiceName service, long round, boolean promised,
+			long exclusiveFor) implements DispatchMessage {
+	}
+
+	/**
+	 * Gives a promise back, so that the next keeper need not wait for the end of the
+	 * lease. The sender registers nothing more.
+	 *
+	 * @param service the service
+	 */
+	record TenureRelease(ServiceName service) implements DispatchMessage {
+	}
+
+	/**
+	 * Hands a part of a register to the next owner, after which the sender registers
+	 * nothing more.
 	 *
 	 * @param service the service
 	 * @param keys the keys
-	 * @param keptSince the time since which the register is complete
+	 * @param keptSince the time for which the register has been complete
 	 * @param part the number of this part, from 1
 	 * @param parts the number of parts
 	 */
@@ -205,6 +242,23 @@
 
 	}
 
+	/**
+	 * Confirms that all parts of a register were received.
+	 *
+	 * @param service the service
+	 */
+	record TransferReceived(ServiceName service) implements DispatchMessage {
+	}
+
+	/**
+	 * Tells the next owner that the sender's tenure was still in force when it received
+	 * the confirmation, so that no other keeper can have come in between.
+	 *
+	 * @param service the service
+	 */
+	record TransferCompleted(ServiceName service) implements DispatchMessage {
+	}
+
 	/**
 	 * How an attempt ended.
 	 *
@@ -241,9 +295,11 @@
 	 *
 	 * @param key the key
 	 * @param age the time since it was registered
+	 * @param daemon the daemon that registered it
+	 * @param query the number of the registration or query
 	 * @param outcome the outcome, or {@code null} while it is unknown
 	 */
-	record RegisteredKey(String key, long age, @Nullable KeyResult outcome) {
+	record RegisteredKey(String key, long age, DaemonId daemon, long query, @Nullable KeyResult outcome) {
 	}
 
 }
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/OwnedServices.java
@@ -0,0 +1,255 @@
+package org.wigeonmast.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.AuditKind;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.core.Step;
+import org.wigeonmast.dispatch.internal.TenureVoter;
+import org.wigeonmast.manifest.Service;
+
+/**
+ * The owner side of a daemon: allocators and registers of the services that it owns in
+ * its region, and its promises to other owners.
+ * <p>
+ * Thread safety: none; the control thread owns it. Invariant: an allocator also exists
+ * for a service of which this daemon is the second in rank while others ask it, because
+ * they do so when the first in rank is silent.
+ * <p>
+ * Wiring: the daemon creates one, passes every dispatch message that it receives both to
+ * this component and to its {@link RequestCoordinator} (each ignores what is for the
+ * other), and carries out the effects as described there. {@link DispatchEffect.Observed}
+ * of this component is the evidence pooled over all entry daemons.
+ */
+public final class OwnedServices implements Component<OwnerInput, DispatchEffect> {
+
+	private final Map<ServiceName, Service> services = new HashMap<>();
+
+	private final Map<ServiceName, List<DaemonId>> owners = new HashMap<>();
+
+	private final Map<ServiceName, List<DispatchMessage.AdvisedServer>> health = new HashMap<>();
+
+	private final Map<ServiceName, SlotAllocator> allocators = new HashMap<>();
+
+	private final Map<ServiceName, RequestRegister> registers = new HashMap<>();
+
+	private final DaemonId self;
+
+	private final Region region;
+
+	private final QueueOrder order;
+
+	private final TenureVoter voter;
+
+	private OwnerInput.@Nullable DaemonsChanged daemons;
+
+	/**
+	 * Creates the owner side without services.
+	 * @param now the monotonic time in milliseconds
+	 * @param self this daemon
+	 * @param region the region of this daemon
+	 * @param order the order of the queues
+	 */
+	public OwnedServices(long now, DaemonId self, Region region, QueueOrder order) {
+		this.self = self;
+		this.region = region;
+		this.order = order;
+		this.voter = new TenureVoter(now);
+	}
+
+	@Override
+	public List<DispatchEffect> handle(long now, OwnerInput input) {
+		return switch (input) {
+			case OwnerInput.Received received -> received(now, received.sender(), received.message());
+			case OwnerInput.ServiceChanged changed -> serviceChanged(now, changed.service());
+			case OwnerInput.ServiceRemoved removed -> {
+				this.services.remove(removed.service());
+				this.owners.remove(removed.service());
+				this.health.remove(removed.service());
+				this.allocators.remove(removed.service());
+				this.registers.remove(removed.service());
+				yield List.of();
+			}
+			case OwnerInput.HealthChanged changed -> {
+				this.health.put(changed.service(), changed.servers());
+				SlotAllocator allocator = this.allocators.get(changed.service());
+				yield (allocator != null) ? allocator.handle(now, new AllocatorInput.HealthChanged(changed.servers()))
+						: List.of();
+			}
+			case OwnerInput.OwnersChanged changed -> ownersChanged(now, changed.service(), changed.owners());
+			case OwnerInput.DaemonsChanged changed -> {
+				this.daemons = changed;
+				RegisterInput forRegister = new RegisterInput.DaemonsChanged(changed.live(), changed.declared());
+				this.registers.values().forEach((register) -> register.handle(now, forRegister));
+				yield List.of();
+			}
+			case OwnerInput.DaemonDead dead -> {
+				List<DispatchEffect> effects = new ArrayList<>();
+				this.allocators.values()
+					.forEach((allocator) -> effects
+						.addAll(allocator.handle(now, new AllocatorInput.DaemonDead(dead.daemon()))));
+				yield effects;
+			}
+			case OwnerInput.Paused _ -> {
+				this.voter.paused(now);
+				yield List.of();
+			}
+		};
+	}
+
+	@Override
+	public List<DispatchEffect> tick(long now) {
+		List<DispatchEffect> effects = new ArrayList<>();
+		for (SlotAllocator allocator : this.allocators.values()) {
+			if (allocator.nextTick() <= now) {
+				effects.addAll(allocator.tick(now));
+			}
+		}
+		for (RequestRegister register : this.registers.values()) {
+			if (register.nextTick() <= now) {
+				effects.addAll(register.tick(now));
+			}
+		}
+		return effects;
+	}
+
+	@Override
+	public long nextTick() {
+		long next = NO_TIMER;
+		for (SlotAllocator allocator : this.allocators.values()) {
+			next = Math.min(next, allocator.nextTick());
+		}
+		for (RequestRegister register : this.registers.values()) {
+			next = Math.min(next, register.nextTick());
+		}
+		return next;
+	}
+
+	/**
+	 * Returns the allocator of a service.
+	 * @param service the service
+	 * @return the allocator, or {@code null} if this daemon keeps none
+	 */
+	public @Nullable SlotAllocator allocator(ServiceName service) {
+		return this.allocators.get(service);
+	}
+
+	/**
+	 * Returns the register of a service.
+	 * @param service the service
+	 * @return the register, or {@code null} if this daemon keeps none
+	 */
+	public @Nullable RequestRegister register(ServiceName service) {
+		return this.registers.get(service);
+	}
+
+	private List<DispatchEffect> received(long now, DaemonId sender, DispatchMessage message) {
+		return switch (message) {
+			case DispatchMessage.SlotRequest request -> slots(now, sender, message, request.service(), true);
+			case DispatchMessage.OutcomeReport report -> slots(now, sender, message, report.service(), true);
+			case DispatchMessage.SlotCancel cancel -> slots(now, sender, message, cancel.service(), false);
+			case DispatchMessage.SlotRelease release -> slots(now, sender, message, release.service(), false);
+			case DispatchMessage.KeyRegistration registration -> keys(now, sender, message, registration.service());
+			case DispatchMessage.KeyQuery query -> keys(now, sender, message, query.service());
+			case DispatchMessage.KeyOutcome outcome -> keys(now, sender, message, outcome.service());
+			case DispatchMessage.RegisterTransfer transfer -> keys(now, sender, message, transfer.service());
+			case DispatchMessage.TransferReceived transfer -> keys(now, sender, message, transfer.service());
+			case DispatchMessage.TransferCompleted transfer -> keys(now, sender, message, transfer.service());
+			case DispatchMessage.TenureReply reply -> keys(now, sender, message, reply.service());
+			case DispatchMessage.TenureRequest request ->
+				List.of(new DispatchEffect.Send(sender, this.voter.requested(now, sender, request)));
+			case DispatchMessage.TenureRelease release -> {
+				this.voter.released(now, sender, release.service());
+				yield List.of();
+			}
+			case DispatchMessage.SlotGrant _, DispatchMessage.SlotQueued _, DispatchMessage.SlotRefusal _,
+					DispatchMessage.DispatchAdvice _, DispatchMessage.KeyVerdict _ ->
+				List.of();
+		};
+	}
+
+	private List<DispatchEffect> slots(long now, DaemonId sender, DispatchMessage message, ServiceName name,
+			boolean create) {
+		Service service = this.services.get(name);
+		if (service == null) {
+			return List.of();
+		}
+		List<DispatchEffect> effects = new ArrayList<>();
+		SlotAllocator allocator = this.allocators.get(name);
+		if (allocator == null && create) {
+			allocator = new SlotAllocator(now, service, this.region, this.order);
+			effects.addAll(
+					allocator.handle(now, new AllocatorInput.HealthChanged(this.health.getOrDefault(name, List.of()))));
+			this.allocators.put(name, allocator);
+		}
+		if (allocator != null) {
+			effects.addAll(allocator.handle(now, new AllocatorInput.Received(sender, message)));
+		}
+		return effects;
+	}
+
+	private List<DispatchEffect> keys(long now, DaemonId sender, DispatchMessage message, ServiceName name) {
+		Service service = this.services.get(name);
+		OwnerInput.DaemonsChanged known = this.daemons;
+		if (service == null || known == null) {
+			return List.of();
+		}
+		RequestRegister register = this.registers.get(name);
+		if (register == null) {
+			register = new RequestRegister(name, this.self, service.keyLifetime());
+			register.handle(now, new RegisterInput.DaemonsChanged(known.live(), known.declared()));
+			this.registers.put(name, register);
+		}
+		return register.handle(now, new RegisterInput.Received(sender, message));
+	}
+
+	private List<DispatchEffect> serviceChanged(long now, Service service) {
+		this.services.put(service.name(), service);
+		RequestRegister register = this.registers.get(service.name());
+		if (register != null) {
+			register.handle(now, new RegisterInput.LifetimeChanged(service.keyLifetime()));
+		}
+		SlotAllocator allocator = this.allocators.get(service.name());
+		return (allocator != null) ? allocator.handle(now, new AllocatorInput.ServiceChanged(service)) : List.of();
+	}
+
+	private List<DispatchEffect> ownersChanged(long now, ServiceName name, List<DaemonId> ranked) {
+		List<DaemonId> before = this.owners.getOrDefault(name, List.of());
+		this.owners.put(name, ranked);
+		boolean owned = !before.isEmpty() && before.getFirst().equals(this.self);
+		boolean owns = !ranked.isEmpty() && ranked.getFirst().equals(this.self);
+		if (owned == owns) {
+			return List.of();
+		}
+		List<DispatchEffect> effects = new ArrayList<>();
+		if (owns) {
+			RequestRegister old = this.registers.get(name);
+			if (old != null && old.handedOver()) {
+				this.registers.remove(name);
+			}
+		}
+		else {
+			RequestRegister register = this.registers.get(name);
+			if (register != null && !ranked.isEmpty()) {
+				effects.addAll(register.handle(now, new RegisterInput.HandOver(ranked.getFirst())));
+			}
+			SlotAllocator allocator = this.allocators.get(name);
+			if (allocator != null && allocator.idle()) {
+				this.allocators.remove(name);
+			}
+		}
+		Map<String, String> evidence = Map.of("owner", ranked.isEmpty() ? "none" : ranked.getFirst().toString());
+		effects.add(new DispatchEffect.Audit(new AuditEntry(now, AuditKind.OWNERSHIP, name.value(), Step.MEMBERSHIP,
+				this.self.toString(), evidence)));
+		return effects;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/FairQueue.java
@@ -0,0 +1,155 @@
+package org.wigeonmast.dispatch.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.CallerId;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.dispatch.QueueOrder;
+
+/**
+ * Queue of one class of work that serves callers in turn, so that one caller's backlog
+ * delays others by one request at a time.
+ * <p>
+ * Thread safety: none. Invariant: between two requests of one caller each other caller
+ * that waits is served once.
+ */
+public final class FairQueue {
+
+	/** Time in milliseconds without an empty queue after which it is overloaded. */
+	private static final long OVERLOADED_AFTER = 100;
+
+	private final QueueOrder order;
+
+	private final Map<WaitingRequest.Ticket, WaitingRequest> requests = new HashMap<>();
+
+	private final LinkedHashMap<CallerId, TreeSet<WaitingRequest>> callers = new LinkedHashMap<>();
+
+	private long emptyUntil;
+
+	/**
+	 * Creates a queue.
+	 * @param order the order among the requests of one caller
+	 */
+	public FairQueue(QueueOrder order) {
+		this.order = order;
+	}
+
+	/**
+	 * Returns the number of requests.
+	 * @return the number
+	 */
+	public int size() {
+		return this.requests.size();
+	}
+
+	/**
+	 * Returns a request.
+	 * @param ticket the ticket
+	 * @return the request, or {@code null} if it does not wait here
+	 */
+	public @Nullable WaitingRequest get(WaitingRequest.Ticket ticket) {
+		return this.requests.get(ticket);
+	}
+
+	/**
+	 * Returns how many requests are served before a further one of a caller.
+	 * @param caller the caller
+	 * @return the number
+	 */
+	public int ahead(CallerId caller) {
+		TreeSet<WaitingRequest> own = this.callers.get(caller);
+		int turns = (own != null) ? own.size() : 0;
+		int result = 0;
+		for (TreeSet<WaitingRequest> waiting : this.callers.values()) {
+			result += Math.min(waiting.size(), (waiting == own) ? turns : turns + 1);
+		}
+		return result;
+	}
+
+	/**
+	 * Adds a request.
+	 * @param now the monotonic time in milliseconds
+	 * @param request the request
+	 */
+	public void add(long now, WaitingRequest request) {
+		if (this.requests.isEmpty()) {
+			this.emptyUntil = now;
+		}
+		this.requests.put(request.ticket(), request);
+		this.callers.computeIfAbsent(request.request().caller(), (caller) -> new TreeSet<>(comparator())).add(request);
+	}
+
+	/**
+	 * Removes a request.
+	 * @param ticket the ticket
+	 * @return the request, or {@code null} if it does not wait here
+	 */
+	public @Nullable WaitingRequest remove(WaitingRequest.Ticket ticket) {
+		WaitingRequest request = this.requests.remove(ticket);
+		if (request != null) {
+			CallerId caller = request.request().caller();
+			TreeSet<WaitingRequest> waiting = this.callers.get(caller);
+			if (waiting != null && waiting.remove(request) && waiting.isEmpty()) {
+				this.callers.remove(caller);
+			}
+		}
+		return request;
+	}
+
+	/**
+	 * Removes the next request that can be served and moves its caller to the end.
+	 * @param now the monotonic time in milliseconds
+	 * @param servable whether a request can be served now
+	 * @return the request, or {@code null} if none can be served
+	 */
+	public @Nullable WaitingRequest poll(long now, Predicate<WaitingRequest> servable) {
+		boolean newestFirst = this.order == QueueOrder.NEWEST_FIRST_WHEN_OVERLOADED
+				&& now - this.emptyUntil > OVERLOADED_AFTER;
+		for (Map.Entry<CallerId, TreeSet<WaitingRequest>> entry : this.callers.entrySet()) {
+			TreeSet<WaitingRequest> waiting = entry.getValue();
+			WaitingRequest request = newestFirst ? waiting.last() : waiting.first();
+			if (servable.test(request)) {
+				this.callers.remove(entry.getKey());
+				waiting.remove(request);
+				if (!waiting.isEmpty()) {
+					this.callers.put(entry.getKey(), waiting);
+				}
+				this.requests.remove(request.ticket());
+				return request;
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Removes all requests of a daemon that meet a condition.
+	 * @param daemon the daemon
+	 * @param condition the condition on the ticket
+	 */
+	public void removeAll(DaemonId daemon, Predicate<Long> condition) {
+		List<WaitingRequest.Ticket> removed = new ArrayList<>();
+		for (Iterator<WaitingRequest.Ticket> i = this.requests.keySet().iterator(); i.hasNext();) {
+			WaitingRequest.Ticket ticket = i.next();
+			if (ticket.daemon().equals(daemon) && condition.test(ticket.number())) {
+				removed.add(ticket);
+			}
+		}
+		removed.forEach(this::remove);
+	}
+
+	private Comparator<WaitingRequest> comparator() {
+		Comparator<WaitingRequest> bySequence = Comparator.comparingLong(WaitingRequest::sequence);
+		return (this.order == QueueOrder.EARLIEST_DEADLINE)
+				? Comparator.comparingLong(WaitingRequest::deadline).thenComparing(bySequence) : bySequence;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/GrantBook.java
@@ -0,0 +1,253 @@
+package org.wigeonmast.dispatch.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongPredicate;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.health.ServerHealth;
+import org.wigeonmast.manifest.BackendServer;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * The slots of one service in one region and the tickets that hold them.
+ * <p>
+ * Thread safety: none. Invariants: a grant is added only while its server has a free
+ * slot; each ticket holds one slot at most; a ticket that was reported by its daemon is
+ * added even if the server has no free slot, because the work runs already.
+ */
+public final class GrantBook {
+
+	private final Map<DaemonId, Map<Long, Grant>> grants = new HashMap<>();
+
+	private final TimerQueue<Grant> leases = new TimerQueue<>();
+
+	private Map<BackendServerId, SlotServer> servers = new LinkedHashMap<>();
+
+	private int longHeld;
+
+	/**
+	 * Replaces the servers; slots in use are kept, also those of a server that comes back
+	 * later.
+	 * @param replacement the servers
+	 */
+	public void setServers(Collection<BackendServer> replacement) {
+		Map<BackendServerId, SlotServer> next = new LinkedHashMap<>();
+		for (BackendServer server : replacement) {
+			SlotServer known = this.servers.get(server.id());
+			if (known != null) {
+				known.setServer(server);
+			}
+			next.put(server.id(), (known != null) ? known : new SlotServer(server));
+		}
+		this.servers = next;
+		next.values().forEach((server) -> server.count(-server.held()));
+		this.grants.values().forEach((ofDaemon) -> ofDaemon.values().forEach((grant) -> countAt(grant.server(), 1)));
+	}
+
+	/**
+	 * Returns whether no ticket holds a slot.
+	 * @return whether it is empty
+	 */
+	public boolean isEmpty() {
+		return this.grants.isEmpty();
+	}
+
+	/**
+	 * Replaces the health of all servers.
+	 * @param health the judgement; servers without one are in service
+	 */
+	public void setHealth(Map<BackendServerId, ServerHealth> health) {
+		this.servers.forEach((id, server) -> server.setHealth(health.get(id)));
+	}
+
+	/**
+	 * Returns the servers.
+	 * @return the servers
+	 */
+	public Collection<SlotServer> servers() {
+		return this.servers.values();
+	}
+
+	/**
+	 * Returns a server.
+	 * @param id the identifier
+	 * @return the server, or {@code null} if it is unknown
+	 */
+	public @Nullable SlotServer server(BackendServerId id) {
+		return this.servers.get(id);
+	}
+
+	/**
+	 * Returns the number of slots that may be used.
+	 * @return the number
+	 */
+	public int usableSlots() {
+		int result = 0;
+		for (SlotServer server : this.servers.values()) {
+			result += server.usableSlots();
+		}
+		return result;
+	}
+
+	/**
+	 * Returns the number of slots that long work holds.
+	 * @return the number
+	 */
+	public int longHeld() {
+		return this.longHeld;
+	}
+
+	/**
+	 * Finds the best free slot.
+	 * @param idempotent whether the request may run more than once, as trials need
+	 * @param excluded servers that were tried already
+	 * @return a server with a free slot, or {@code null} if there is none
+	 */
+	public @Nullable SlotServer free(boolean idempotent, Collection<BackendServerId> excluded) {
+		SlotServer best = null;
+		for (SlotServer server : this.servers.values()) {
+			if (!server.free() || (server.trial() && !idempotent) || excluded.contains(server.server().id())) {
+				continue;
+			}
+			if (best == null || better(server, best)) {
+				best = server;
+			}
+		}
+		return best;
+	}
+
+	/**
+	 * Returns whether any server that was not tried may take work at all.
+	 * @param idempotent whether the request may run more than once
+	 * @param excluded servers that were tried already
+	 * @return whether there is one
+	 */
+	public boolean possible(boolean idempotent, Collection<BackendServerId> excluded) {
+		for (SlotServer server : this.servers.values()) {
+			if (server.usableSlots() > 0 && (idempotent || !server.trial())
+					&& !excluded.contains(server.server().id())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Returns a grant.
+	 * @param ticket the ticket
+	 * @return the grant, or {@code null} if the ticket holds no slot
+	 */
+	public @Nullable Grant get(WaitingRequest.Ticket ticket) {
+		return this.grants.getOrDefault(ticket.daemon(), Map.of()).get(ticket.number());
+	}
+
+	/**
+	 * Adds a grant.
+	 * @param grant the grant of a ticket that holds no slot
+	 */
+	public void add(Grant grant) {
+		this.grants.computeIfAbsent(grant.ticket().daemon(), (daemon) -> new HashMap<>())
+			.put(grant.ticket().number(), grant);
+		this.leases.add(grant.leaseEnd(), grant);
+		count(grant, 1);
+	}
+
+	/**
+	 * Removes a grant.
+	 * @param ticket the ticket
+	 * @return the grant, or {@code null} if the ticket holds no slot
+	 */
+	public @Nullable Grant remove(WaitingRequest.Ticket ticket) {
+		Map<Long, Grant> ofDaemon = this.grants.get(ticket.daemon());
+		Grant grant = (ofDaemon != null) ? ofDaemon.remove(ticket.number()) : null;
+		if (grant != null) {
+			count(grant, -1);
+			if (ofDaemon.isEmpty()) {
+				this.grants.remove(ticket.daemon());
+			}
+		}
+		return grant;
+	}
+
+	/**
+	 * Removes all grants of a daemon that meet a condition.
+	 * @param daemon the daemon
+	 * @param condition the condition on the ticket
+	 * @return the removed grants
+	 */
+	public List<Grant> removeAll(DaemonId daemon, LongPredicate condition) {
+		List<Grant> removed = new ArrayList<>();
+		for (Long ticket : Set.copyOf(this.grants.getOrDefault(daemon, Map.of()).keySet())) {
+			Grant grant = condition.test(ticket) ? remove(new WaitingRequest.Ticket(daemon, ticket)) : null;
+			if (grant != null) {
+				removed.add(grant);
+			}
+		}
+		return removed;
+	}
+
+	/**
+	 * Removes the next grant whose lease has ended.
+	 * @param now the monotonic time in milliseconds
+	 * @return the grant, or {@code null} if there is none
+	 */
+	public @Nullable Grant pollExpired(long now) {
+		for (Grant grant = this.leases.poll(now); grant != null; grant = this.leases.poll(now)) {
+			if (get(grant.ticket()) == grant) {
+				return remove(grant.ticket());
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Returns when the next lease may end.
+	 * @return the monotonic time in milliseconds
+	 */
+	public long nextLeaseEnd() {
+		return this.leases.next();
+	}
+
+	private void count(Grant grant, int change) {
+		if (grant.workClass() == WorkClass.LONG) {
+			this.longHeld += change;
+		}
+		countAt(grant.server(), change);
+	}
+
+	private void countAt(BackendServerId id, int change) {
+		SlotServer server = this.servers.get(id);
+		if (server != null) {
+			server.count(change);
+		}
+	}
+
+	private static boolean better(SlotServer server, SlotServer best) {
+		if (server.lastChoice() != best.lastChoice()) {
+			return best.lastChoice();
+		}
+		return server.rank() < best.rank();
+	}
+
+	/**
+	 * A ticket that holds a slot.
+	 *
+	 * @param ticket the ticket
+	 * @param server the backend server
+	 * @param workClass the class of work
+	 * @param leaseEnd the monotonic time in milliseconds at which the slot is taken back
+	 * @param direct whether the daemon chose the server itself
+	 */
+	public record Grant(WaitingRequest.Ticket ticket, BackendServerId server, WorkClass workClass, long leaseEnd,
+			boolean direct) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/SlotServer.java
@@ -0,0 +1,156 @@
+package org.wigeonmast.dispatch.internal;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.health.ServerHealth;
+import org.wigeonmast.manifest.BackendServer;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * A backend server as its slots' owner sees it.
+ * <p>
+ * Thread safety: none.
+ */
+public final class SlotServer {
+
+	private static final double SMOOTHING = 0.1;
+
+	private static final double FIRST_SHORT_DURATION = 20;
+
+	private static final double FIRST_LONG_DURATION = 500;
+
+	private BackendServer server;
+
+	private @Nullable ServerHealth health;
+
+	private int held;
+
+	private double shortDuration = FIRST_SHORT_DURATION;
+
+	private double longDuration = FIRST_LONG_DURATION;
+
+	/**
+	 * Creates a server without work.
+	 * @param server the server
+	 */
+	public SlotServer(BackendServer server) {
+		this.server = server;
+	}
+
+	/**
+	 * Returns the server.
+	 * @return the server
+	 */
+	public BackendServer server() {
+		return this.server;
+	}
+
+	/**
+	 * Replaces the server after a manifest change.
+	 * @param server the server with the same identifier
+	 */
+	public void setServer(BackendServer server) {
+		this.server = server;
+	}
+
+	/**
+	 * Replaces the health.
+	 * @param health the judgement, or {@code null} for a server in service
+	 */
+	public void setHealth(@Nullable ServerHealth health) {
+		this.health = health;
+	}
+
+	/**
+	 * Returns the number of slots in use.
+	 * @return the number, which exceeds the server's slots while direct work collides
+	 */
+	public int held() {
+		return this.held;
+	}
+
+	/**
+	 * Counts a slot that is taken or returned.
+	 * @param change 1 or -1
+	 */
+	public void count(int change) {
+		this.held += change;
+	}
+
+	/**
+	 * Returns whether the server is used only while no other has a free slot.
+	 * @return whether it is the last choice
+	 */
+	public boolean lastChoice() {
+		return this.health != null && (this.health.state() == ServerHealth.State.AVOIDED
+				|| (this.health.state() == ServerHealth.State.SERVING && this.health.weight() <= 0));
+	}
+
+	/**
+	 * Returns whether the server gets idempotent work only.
+	 * @return whether it is on trial
+	 */
+	public boolean trial() {
+		return this.health != null && this.health.state() == ServerHealth.State.TRIAL;
+	}
+
+	/**
+	 * Returns the number of slots that may be used.
+	 * @return the number, 0 for a server that gets no work
+	 */
+	public int usableSlots() {
+		if (this.health == null) {
+			return this.server.slots();
+		}
+		return switch (this.health.state()) {
+			case SERVING, RAMPING -> weighted(this.health.weight());
+			case AVOIDED -> this.server.slots();
+			case TRIAL -> 1;
+			case EJECTED, LEAVING, DEAD -> 0;
+		};
+	}
+
+	/**
+	 * Returns whether a slot is free.
+	 * @return whether one is free
+	 */
+	public boolean free() {
+		return this.held < usableSlots();
+	}
+
+	/**
+	 * Returns the rank of the server for the next grant, lower is better.
+	 * @return the share of its slots in use, weighted by its duration of short work
+	 */
+	public double rank() {
+		return (this.held + 1) * this.shortDuration / Math.max(1, usableSlots());
+	}
+
+	/**
+	 * Learns the duration of completed work.
+	 * @param workClass the class of work
+	 * @param duration the duration in milliseconds
+	 */
+	public void learn(WorkClass workClass, long duration) {
+		double value = Math.max(1, duration);
+		if (workClass == WorkClass.SHORT) {
+			this.shortDuration += SMOOTHING * (value - this.shortDuration);
+		}
+		else {
+			this.longDuration += SMOOTHING * (value - this.longDuration);
+		}
+	}
+
+	/**
+	 * Returns the mean duration of recent work.
+	 * @param workClass the class of work
+	 * @return the duration in milliseconds
+	 */
+	public double duration(WorkClass workClass) {
+		return (workClass == WorkClass.SHORT) ? this.shortDuration : this.longDuration;
+	}
+
+	private int weighted(double weight) {
+		return (weight <= 0) ? this.server.slots() : Math.max(1, (int) Math.round(this.server.slots() * weight));
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/UtilizationMeter.java
@@ -0,0 +1,126 @@
+package org.wigeonmast.dispatch.internal;
+
+import org.wigeonmast.dispatch.DispatchMode;
+
+/**
+ * Estimates the utilization of a region's slots and decides the mode with hysteresis.
+ * <p>
+ * Thread safety: none. Invariant: the mode becomes direct only after the estimate was low
+ * for {@link #LOW_FOR} without a queue or a busy server.
+ */
+public final class UtilizationMeter {
+
+	/** Utilization below which direct dispatch is allowed. */
+	public static final double LOW = 0.4;
+
+	/** Utilization above which grants are required. */
+	public static final double HIGH = 0.6;
+
+	/** Time in milliseconds for which the utilization must be low. */
+	public static final long LOW_FOR = 1000;
+
+	private static final long WINDOW = 200;
+
+	private static final double SMOOTHING = 0.5;
+
+	private DispatchMode mode = DispatchMode.GRANTED;
+
+	private double estimate = HIGH;
+
+	private double busy;
+
+	private int heldGrants;
+
+	private long integratedTo;
+
+	private long windowStart;
+
+	private long lowSince;
+
+	/**
+	 * Creates a meter that requires grants until the utilization was low for a while.
+	 * @param now the monotonic time in milliseconds
+	 */
+	public UtilizationMeter(long now) {
+		this.integratedTo = now;
+		this.windowStart = now;
+		this.lowSince = now;
+	}
+
+	/**
+	 * Returns the mode.
+	 * @return the mode
+	 */
+	public DispatchMode mode() {
+		return this.mode;
+	}
+
+	/**
+	 * Returns the estimate.
+	 * @return the share of slots in use, above 1 while direct work queues at servers
+	 */
+	public double estimate() {
+		return this.estimate;
+	}
+
+	/**
+	 * Counts a granted slot that is taken or returned.
+	 * @param now the monotonic time in milliseconds
+	 * @param change 1 or -1
+	 */
+	public void countGrant(long now, int change) {
+		integrate(now);
+		this.heldGrants += change;
+	}
+
+	/**
+	 * Adds the duration of an attempt that ended without a grant.
+	 * @param duration the duration in milliseconds
+	 */
+	public void addDirect(long duration) {
+		this.busy += duration;
+	}
+
+	/**
+	 * Notes that a queue formed or that a server was busy.
+	 * @param now the monotonic time in milliseconds
+	 */
+	public void congested(long now) {
+		this.mode = DispatchMode.GRANTED;
+		this.lowSince = now;
+	}
+
+	/**
+	 * Updates estimate and mode if a window has passed.
+	 * @param now the monotonic time in milliseconds
+	 * @param slots the usable slots
+	 */
+	public void update(long now, int slots) {
+		long length = now - this.windowStart;
+		if (length < WINDOW) {
+			return;
+		}
+		integrate(now);
+		double sample = this.busy / (length * (double) Math.max(1, slots));
+		// Windows in which nothing happened count as many short ones.
+		double kept = Math.pow(1 - SMOOTHING, Math.max(1, length / (double) WINDOW));
+		this.estimate = kept * this.estimate + (1 - kept) * sample;
+		this.busy = 0;
+		this.windowStart = now;
+		if (this.estimate >= LOW) {
+			this.lowSince = now;
+		}
+		if (this.estimate > HIGH) {
+			this.mode = DispatchMode.GRANTED;
+		}
+		else if (now - this.lowSince >= LOW_FOR) {
+			this.mode = DispatchMode.DIRECT;
+		}
+	}
+
+	private void integrate(long now) {
+		this.busy += this.heldGrants * (double) (now - this.integratedTo);
+		this.integratedTo = now;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/WaitingRequest.java
@@ -0,0 +1,31 @@
+package org.wigeonmast.dispatch.internal;
+
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.dispatch.DispatchMessage.SlotRequest;
+
+/**
+ * A request that waits in an owner's queue.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param ticket the ticket
+ * @param request the request as it was received
+ * @param sequence the number of arrival
+ * @param arrival the monotonic time of arrival in milliseconds
+ * @param deadline the monotonic time of the request's deadline in milliseconds
+ * @param refuseAt the monotonic time in milliseconds at which it is refused if it still
+ * waits
+ */
+public record WaitingRequest(Ticket ticket, SlotRequest request, long sequence, long arrival, long deadline,
+		long refuseAt) {
+
+	/**
+	 * A ticket with the daemon that issued it.
+	 *
+	 * @param daemon the entry daemon
+	 * @param number the ticket
+	 */
+	public record Ticket(DaemonId daemon, long number) {
+	}
+
+}
