--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/SharedKey.java
+++ b/wigeonmast-core/src/main/java/org/wigeonmast/core/SharedKey.java
@@ -1,4 +1,4 @@
-package org.wigeonmast.settings;
+package org.wigeonmast.core;
 
 import java.security.MessageDigest;
 
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetListener.java
@@ -0,0 +1,30 @@
+package org.wigeonmast.daemon.internal;
+
+import org.wigeonmast.manifest.Manifest;
+
+/**
+ * Takes changes of the fleet and of the manifest.
+ * <p>
+ * Thread safety: called on the control thread.
+ */
+interface FleetListener {
+
+	/** Members, their phases or their order as owners changed. */
+	void membersChanged();
+
+	/**
+	 * A manifest was put in force.
+	 * @param manifest the manifest
+	 */
+	void manifestApplied(Manifest manifest);
+
+	/**
+	 * The daemon may serve, or must not.
+	 * @param ready whether it may serve
+	 */
+	void readinessChanged(boolean ready);
+
+	/** The process was paused and resumed. */
+	void resumed();
+
+}
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
@@ -0,0 +1,241 @@
+package org.wigeonmast.daemon.internal;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.daemon.DaemonEvent;
+import org.wigeonmast.manifest.JsonManifestChecker;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.follow.FollowEffect;
+import org.wigeonmast.manifest.follow.FollowInput;
+import org.wigeonmast.manifest.follow.FollowSettings;
+import org.wigeonmast.manifest.follow.ManifestCodec;
+import org.wigeonmast.manifest.follow.ManifestFollower;
+import org.wigeonmast.manifest.follow.ManifestMessage;
+import org.wigeonmast.manifest.follow.Peer;
+import org.wigeonmast.manifest.follow.VersionStamp;
+import org.wigeonmast.manifest.store.ConfigurationStoreClient;
+import org.wigeonmast.manifest.store.PlatformHost;
+import org.wigeonmast.membership.Member;
+import org.wigeonmast.membership.MemberPhase;
+import org.wigeonmast.membership.MemberStatus;
+import org.wigeonmast.membership.MembershipCodec;
+import org.wigeonmast.membership.MembershipEffect;
+import org.wigeonmast.membership.MembershipInput;
+import org.wigeonmast.membership.MembershipList;
+import org.wigeonmast.membership.MembershipMessage;
+import org.wigeonmast.membership.MembershipSettings;
+import org.wigeonmast.membership.ownership.Ownership;
+import org.wigeonmast.settings.DaemonSettings;
+import org.wigeonmast.wire.Slice;
+
+/**
+ * Drives membership, ownership and the manifest follower of one daemon.
+ * <p>
+ * Thread safety: confined to the control thread.
+ */
+final class FleetShell implements AutoCloseable {
+
+	private final EventLog log = new EventLog(FleetShell.class);
+
+	private final DaemonSettings settings;
+
+	private final DaemonId self;
+
+	private final PeerMessenger messenger;
+
+	private final FleetListener listener;
+
+	private final Consumer<AuditEntry> audit;
+
+	private final Ownership ownership = new Ownership();
+
+	private final MembershipList members;
+
+	private final ManifestFollower follower;
+
+	private final ComponentDriver<MembershipInput, MembershipEffect> membershipDriver;
+
+	private final ComponentDriver<FollowInput, FollowEffect> followDriver;
+
+	private final SliceEndpoint<MembershipMessage> membershipEndpoint;
+
+	private final SliceEndpoint<ManifestMessage> manifestEndpoint;
+
+	private final StoreShell store;
+
+	private @Nullable Manifest manifest;
+
+	private List<PlatformHost> hosts = List.of();
+
+	FleetShell(ControlThread control, DaemonSettings settings, DaemonId self, PeerMessenger messenger,
+			RandomGenerator random, Consumer<AuditEntry> audit, FleetListener listener) {
+		this.settings = settings;
+		this.self = self;
+		this.messenger = messenger;
+		this.listener = listener;
+		this.audit = audit;
+		Member record = new Member(self, 0, messenger.address(), settings.failureDomain(), MemberPhase.STARTING,
+				MemberStatus.LIVE);
+		this.members = new MembershipList(record, MembershipSettings.standard(), random);
+		this.follower = new ManifestFollower(self.name(), settings.failureDomain().region(), new JsonManifestChecker(),
+				FollowSettings.standard(), random);
+		this.membershipDriver = new ComponentDriver<>(control, this.members, this::carryOut);
+		this.followDriver = new ComponentDriver<>(control, this.follower, this::carryOut);
+		this.membershipEndpoint = messenger.register(Slice.MEMBERSHIP, new MembershipCodec(),
+				(from, message) -> this.membershipDriver.handle(new MembershipInput.Received(from.address(), message)));
+		this.manifestEndpoint = messenger.register(Slice.MANIFEST, new ManifestCodec(),
+				(from, message) -> this.followDriver.handle(new FollowInput.Received(from.address(), message)));
+		ConfigurationStoreClient client = new ConfigurationStoreClient(settings.store().baseUrl(),
+				settings.store().callTimeout(), FollowSettings.standard().watchWait());
+		this.store = new StoreShell(control, client, this.followDriver::handle);
+	}
+
+	void start() {
+		seedsChanged();
+		this.membershipDriver.start();
+		this.followDriver.start();
+		membersChanged();
+		this.store.watchHosts(this::isReader, this::hostsRead);
+	}
+
+	/** Announces that this daemon is leaving, so that others own its services. */
+	void leave() {
+		this.membershipDriver.handle(new MembershipInput.PhaseChanged(MemberPhase.LEAVING));
+	}
+
+	@Override
+	public void close() {
+		this.membershipDriver.handle(new MembershipInput.Stopped());
+		this.membershipDriver.stop();
+		this.followDriver.stop();
+		this.store.close();
+	}
+
+	Ownership ownership() {
+		return this.ownership;
+	}
+
+	List<Member> live() {
+		return this.members.live();
+	}
+
+	@Nullable Manifest manifest() {
+		return this.manifest;
+	}
+
+	VersionStamp inForce() {
+		return this.follower.inForce();
+	}
+
+	List<PlatformHost> hosts() {
+		return this.hosts;
+	}
+
+	boolean isReady() {
+		return this.follower.isReady();
+	}
+
+	private boolean isReader() {
+		return readerRank() != FollowInput.PeersChanged.NO_READER;
+	}
+
+	private int readerRank() {
+		List<Member> readers = this.ownership.readers(this.settings.failureDomain().region());
+		for (int rank = 0; rank < readers.size(); rank++) {
+			if (readers.get(rank).id().equals(this.self)) {
+				return rank;
+			}
+		}
+		return FollowInput.PeersChanged.NO_READER;
+	}
+
+	private void carryOut(MembershipEffect effect) {
+		switch (effect) {
+			case MembershipEffect.Send send -> this.membershipEndpoint.send(send.to(), send.message());
+			case MembershipEffect.MembersChanged changed -> membersChanged();
+			case MembershipEffect.Joined joined -> membersChanged();
+			case MembershipEffect.ManifestHeard heard -> this.followDriver
+				.handle(new FollowInput.Received(heard.from(), new ManifestMessage.Announcement(heard.stamp())));
+			case MembershipEffect.Resumed resumed -> {
+				this.log.log(DaemonEvent.PAUSED, resumed.duration());
+				this.followDriver.handle(new FollowInput.Resumed());
+				this.listener.resumed();
+			}
+			case MembershipEffect.Audit entry -> this.audit.accept(entry.entry());
+			case MembershipEffect.Report report -> this.log.log(report.event(), report.parameters().toArray());
+		}
+	}
+
+	private void carryOut(FollowEffect effect) {
+		switch (effect) {
+			case FollowEffect.Send send -> this.manifestEndpoint.send(send.to(), send.message());
+			case FollowEffect.ReadIndex read -> this.store.readIndex();
+			case FollowEffect.WatchIndex watch -> this.store.watchIndex(watch.knownHash());
+			case FollowEffect.ReadPart read -> this.store.readPart(read.hash());
+			case FollowEffect.Apply apply -> apply(apply.manifest());
+			case FollowEffect.ReadinessChanged changed -> readinessChanged(changed.ready());
+			case FollowEffect.Audit entry -> this.audit.accept(entry.entry());
+			case FollowEffect.Report report -> this.log.log(report.event(), report.parameters().toArray());
+		}
+	}
+
+	private void apply(Manifest applied) {
+		this.manifest = applied;
+		this.membershipDriver
+			.handle(new MembershipInput.ManifestInForce(new VersionStamp(applied.version(), applied.hash())));
+		this.listener.manifestApplied(applied);
+	}
+
+	private void readinessChanged(boolean ready) {
+		if (this.members.self().phase() != MemberPhase.LEAVING) {
+			this.membershipDriver
+				.handle(new MembershipInput.PhaseChanged(ready ? MemberPhase.READY : MemberPhase.STARTING));
+		}
+		this.listener.readinessChanged(ready);
+	}
+
+	private void membersChanged() {
+		List<Member> live = this.members.live();
+		this.messenger.setMembers(live);
+		this.ownership.update(live);
+		Set<HostAddress> readers = new LinkedHashSet<>();
+		live.stream()
+			.map(Member::region)
+			.distinct()
+			.forEach((region) -> this.ownership.readers(region).forEach((reader) -> readers.add(reader.address())));
+		List<Peer> peers = new ArrayList<>();
+		for (Member member : live) {
+			if (!member.id().equals(this.self)) {
+				peers.add(new Peer(member.address(), member.region(), readers.contains(member.address())));
+			}
+		}
+		this.followDriver.handle(new FollowInput.PeersChanged(peers, readerRank(), this.members.joined()));
+		this.listener.membersChanged();
+	}
+
+	private void hostsRead(List<PlatformHost> read) {
+		this.hosts = List.copyOf(read);
+		seedsChanged();
+		this.listener.membersChanged();
+	}
+
+	private void seedsChanged() {
+		Set<HostAddress> seeds = new LinkedHashSet<>(this.settings.peers().seeds());
+		this.hosts.stream()
+			.filter((host) -> host.role() == PlatformHost.Role.ENTRY && !host.leaving())
+			.forEach((host) -> seeds.add(host.address()));
+		seeds.remove(this.messenger.address());
+		this.membershipDriver.handle(new MembershipInput.SeedsChanged(List.copyOf(seeds)));
+	}
+
+}
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/PeerMessenger.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/PeerMessenger.java
@@ -20,11 +20,12 @@
 import org.wigeonmast.wire.Slice;
 
 /**
- * Carries the messages of all slices between the components of this daemon and those of its peers.
+ * Carries the messages of all slices between the components of this daemon and those of
+ * its peers.
  * <p>
- * Thread safety: confined to the control thread, except that messages arrive on the links' threads and are
- * handed over. Invariant: a message to this daemon itself is delivered later, never within the sending
- * call, so components are not entered twice.
+ * Thread safety: confined to the control thread, except that messages arrive on the
+ * links' threads and are handed over. Invariant: a message to this daemon itself is
+ * delivered later, never within the sending call, so components are not entered twice.
  */
 public final class PeerMessenger implements AutoCloseable {
 
@@ -145,8 +146,7 @@
 				this.receiver.accept(from, this.codec.decode(content));
 			}
 			catch (MalformedMessageException exception) {
-				PeerMessenger.this.log.log(DaemonEvent.MESSAGE_REJECTED, this.slice, from.id(),
-						exception.getMessage());
+				PeerMessenger.this.log.log(DaemonEvent.MESSAGE_REJECTED, this.slice, from.id(), exception.getMessage());
 			}
 		}
 
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/StoreShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/StoreShell.java
@@ -6,7 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
-import org.wigeonmast.manifest.follow.ContentHash;
+import org.apache.commons.codec.digest.DigestUtils;
 import org.wigeonmast.manifest.follow.FollowInput;
 import org.wigeonmast.manifest.store.ConfigurationStoreClient;
 import org.wigeonmast.manifest.store.HostListReader;
@@ -14,8 +14,8 @@
 import org.wigeonmast.manifest.store.StoreReply;
 
 /**
- * Carries out the calls to the configuration store that the manifest follower asks for, and reads the host
- * list.
+ * Carries out the calls to the configuration store that the manifest follower asks for,
+ * and reads the host list.
  * <p>
  * Thread safety: confined to the control thread; replies are handed over to it.
  */
@@ -51,7 +51,8 @@
 	}
 
 	void watchIndex(String knownHash) {
-		// Without the tag of the known index a watch would return at once, which is what reading does.
+		// Without the tag of the known index a watch would return at once, which is what
+		// reading does.
 		boolean tagged = knownHash.equals(this.indexHash) && !this.indexTag.isEmpty();
 		onReply(tagged ? this.client.watchIndex(this.indexTag) : this.client.readIndex(), this::indexRead);
 	}
@@ -59,8 +60,7 @@
 	void readPart(String hash) {
 		onReply(this.client.readPart(hash), (reply) -> this.follower.accept(switch (reply) {
 			case StoreReply.Document document -> new FollowInput.StorePart(hash, document.bytes());
-			case StoreReply.Unchanged unchanged ->
-				new FollowInput.StorePartFailed(hash, "the store sent no content");
+			case StoreReply.Unchanged unchanged -> new FollowInput.StorePartFailed(hash, "the store sent no content");
 			case StoreReply.Failed failed ->
 				new FollowInput.StorePartFailed(hash, String.valueOf(failed.cause().getMessage()));
 		}));
@@ -95,8 +95,7 @@
 		this.client.close();
 	}
 
-	private void watchHostsAgain(boolean failed, BooleanSupplier keepWatching,
-			Consumer<List<PlatformHost>> hosts) {
+	private void watchHostsAgain(boolean failed, BooleanSupplier keepWatching, Consumer<List<PlatformHost>> hosts) {
 		if (failed || keepWatching.getAsBoolean()) {
 			watchHosts(keepWatching, hosts);
 		}
@@ -108,7 +107,7 @@
 	private void indexRead(StoreReply reply) {
 		switch (reply) {
 			case StoreReply.Document document -> {
-				this.indexHash = ContentHash.of(document.bytes());
+				this.indexHash = DigestUtils.sha256Hex(document.bytes());
 				this.indexTag = document.entityTag();
 				this.follower.accept(new FollowInput.StoreIndex(document.bytes()));
 			}
--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/PeerSettings.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/PeerSettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.SharedKey;
 
 /**
  * The settings of the links between daemons.
--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsKeys.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsKeys.java
@@ -7,7 +7,7 @@
 import org.apache.logging.log4j.Level;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.HostAddress;
-import org.wigeonmast.settings.SharedKey;
+import org.wigeonmast.core.SharedKey;
 
 /**
  * All keys of a settings file.
--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsTexts.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsTexts.java
@@ -4,8 +4,8 @@
 import java.nio.file.NoSuchFileException;
 import java.util.Collection;
 
+import org.wigeonmast.core.SharedKey;
 import org.wigeonmast.settings.SettingsError;
-import org.wigeonmast.settings.SharedKey;
 import org.wigeonmast.settings.internal.ValueType.ValueProblem;
 
 /**
--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SharedKeyType.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SharedKeyType.java
@@ -3,7 +3,7 @@
 import java.util.Base64;
 
 import io.vavr.control.Either;
-import org.wigeonmast.settings.SharedKey;
+import org.wigeonmast.core.SharedKey;
 
 /**
  * A key in Base64.
--- /dev/null
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the assembled system.
+ */
+@NullMarked
+package org.wigeonmast.verification;
+
+import org.jspecify.annotations.NullMarked;
--- a/wigeonmast-wire/src/main/java/org/wigeonmast/wire/LinkSettings.java
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/LinkSettings.java
@@ -2,6 +2,7 @@
 
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.SharedKey;
 
 /**
  * Settings of the links of one daemon.
--- a/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/LinkAuthenticator.java
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/LinkAuthenticator.java
@@ -8,7 +8,7 @@
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 
-import org.wigeonmast.wire.SharedKey;
+import org.wigeonmast.core.SharedKey;
 import org.wigeonmast.wire.internal.protocol.WireProtocol.Hello;
 
 /**
--- a/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/NettyPeerLinks.java
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/NettyPeerLinks.java
@@ -130,11 +130,12 @@
 			channel.pipeline()
 				.addLast(new IdleStateHandler(OutgoingLink.SILENCE_MILLISECONDS, 0, 0, TimeUnit.MILLISECONDS));
 			LinkFrames.addHandshakeCodecs(channel.pipeline());
-			channel.pipeline().addLast(new AcceptedLinkHandler(NettyPeerLinks.this.settings, (from, address, slice, content) -> {
-				NettyPeerLinks.this.messagesReceived.increment();
-				NettyPeerLinks.this.bytesReceived.add(content.length);
-				NettyPeerLinks.this.listener.received(from, address, slice, content);
-			}));
+			channel.pipeline()
+				.addLast(new AcceptedLinkHandler(NettyPeerLinks.this.settings, (from, address, slice, content) -> {
+					NettyPeerLinks.this.messagesReceived.increment();
+					NettyPeerLinks.this.bytesReceived.add(content.length);
+					NettyPeerLinks.this.listener.received(from, address, slice, content);
+				}));
 		}
 
 	}
--- a/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
+++ b/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.SharedKey;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -26,7 +27,8 @@
 
 	private static final int WAIT_SECONDS = 20;
 
-	private static final SharedKey KEY = new SharedKey("0123456789abcdef".getBytes(StandardCharsets.US_ASCII));
+	private static final SharedKey KEY = new SharedKey(
+			"0123456789abcdef0123456789abcdef".getBytes(StandardCharsets.US_ASCII));
 
 	private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
 
@@ -73,7 +75,7 @@
 	// Guards against messages from a daemon that does not hold the fleet's key.
 	@Test
 	void peerWithAnotherKeyIsNotHeard() throws Exception {
-		SharedKey otherKey = new SharedKey("another key here".getBytes(StandardCharsets.US_ASCII));
+		SharedKey otherKey = new SharedKey("another key here that is long enough".getBytes(StandardCharsets.US_ASCII));
 		try (PeerLinks stranger = open("stranger", otherKey, 0, (from, address, slice, content) -> {
 		})) {
 			stranger.send(this.receiver.address(), Slice.DISPATCH, new byte[] { 1 });
--- a/wigeonmast-wire/src/test/java/org/wigeonmast/wire/internal/LinkHandshakeTests.java
+++ b/wigeonmast-wire/src/test/java/org/wigeonmast/wire/internal/LinkHandshakeTests.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.SharedKey;
 import org.wigeonmast.wire.LinkSettings;
-import org.wigeonmast.wire.SharedKey;
 import org.wigeonmast.wire.internal.protocol.WireProtocol.Hello;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -19,7 +19,8 @@
  */
 class LinkHandshakeTests {
 
-	private static final SharedKey KEY = new SharedKey("0123456789abcdef".getBytes(StandardCharsets.US_ASCII));
+	private static final SharedKey KEY = new SharedKey(
+			"0123456789abcdef0123456789abcdef".getBytes(StandardCharsets.US_ASCII));
 
 	private static final byte[] CONTENT = { 1, 2, 3 };
 
