Do not take the start of a daemon for a pause

The first timers of the member list were at 0 while the monotonic clock of a real host starts anywhere, so the first tick looked late by the host's uptime (seen: 979,293 ms). The timers now start at the time of the first input.

--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -176,6 +176,8 @@
 			this.started = true;
 			this.startedAt = now;
 			this.lastHeard = now;
+			this.nextJoin = now;
+			this.nextGossip = now;
 			this.nextReconnect = now + this.random.nextLong(this.settings.reconnectInterval());
 			this.nextSync = now + randomSyncDelay();
 			this.detector.start(now);
--- /dev/null
+++ b/wigeonmast-membership/src/test/java/org/wigeonmast/membership/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of membership.
+ */
+@NullMarked
+package org.wigeonmast.membership;
+
+import org.jspecify.annotations.NullMarked;
