--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyEvent.java
@@ -0,0 +1,86 @@
+package org.wigeonmast.proxy;
+
+import org.apache.logging.log4j.Level;
+import org.wigeonmast.core.EventDefinition;
+
+/**
+ * Log events of the proxy, numbers 800 to 899.
+ * <p>
+ * Thread safety: immutable.
+ */
+public enum ProxyEvent implements EventDefinition {
+
+	/** The proxy listens. */
+	LISTENING(800, Level.INFO, "Listening for callers on {}", "No action is needed."),
+
+	/** A drain began. */
+	DRAINING(801, Level.INFO, "Draining: {} connections of callers are open", "No action is needed."),
+
+	/** A drain ended. */
+	DRAINED(802, Level.INFO, "Drained: all connections of callers are closed", "No action is needed."),
+
+	/** A request was rejected. */
+	REQUEST_REJECTED(803, Level.DEBUG, "Rejected a request from {} with status {}: {}",
+			"If one caller causes many of these, tell it what the problem document says."),
+
+	/** The bound on callers' connections was reached. */
+	CALLER_LIMIT(804, Level.WARN, "Closed a connection from {}: {} connections of callers are open",
+			"Check whether a caller opens connections without closing them."),
+
+	/** A backend server sent bytes that no request asked for. */
+	UNSOLICITED_BYTES(805, Level.WARN, "Closed an idle connection to {}, which sent bytes without a request",
+			"The backend server miscounts the length of its responses; have it corrected."),
+
+	/** A response was cut short. */
+	TRANSFER_BROKEN(806, Level.WARN, "Cut the response to request {} from {} short: {}",
+			"If one backend server causes many of these, check its log at that time."),
+
+	/** All connections to a backend server are in use. */
+	CONNECTIONS_USED_UP(807, Level.WARN, "All {} connections to {} are in use",
+			"The backend server answers too slowly for its load; check its health and its number of slots."),
+
+	/** Dispatch refused a request as not run that may have run. */
+	REFUSAL_CORRECTED(808, Level.ERROR,
+			"Request {} was refused as not run although it may have run; the caller was told unknown",
+			"This is an error in the program; report it with the log around this entry."),
+
+	/** An error in the program ended a connection. */
+	UNEXPECTED_ERROR(809, Level.ERROR, "Closed a connection because of an unexpected error: {}",
+			"This is an error in the program; report it with the log around this entry.");
+
+	private final int number;
+
+	private final Level level;
+
+	private final String text;
+
+	private final String advice;
+
+	ProxyEvent(int number, Level level, String text, String advice) {
+		this.number = number;
+		this.level = level;
+		this.text = text;
+		this.advice = advice;
+	}
+
+	@Override
+	public int number() {
+		return this.number;
+	}
+
+	@Override
+	public Level level() {
+		return this.level;
+	}
+
+	@Override
+	public String text() {
+		return this.text;
+	}
+
+	@Override
+	public String advice() {
+		return this.advice;
+	}
+
+}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -8,6 +8,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
@@ -18,6 +19,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.dispatch.ExchangeCommand;
@@ -25,6 +27,7 @@
 import org.wigeonmast.manifest.Manifest;
 import org.wigeonmast.proxy.internal.CallerInitializer;
 import org.wigeonmast.proxy.internal.ProxyContext;
+import org.wigeonmast.proxy.internal.ProxyMetrics;
 
 /**
  * HTTP/1.1 server that passes requests of callers to backend servers as dispatch
@@ -50,6 +53,8 @@
  */
 public final class ProxyServer implements AutoCloseable {
 
+	private static final EventLog LOG = new EventLog(ProxyServer.class);
+
 	private static final int BACKLOG = 1024;
 
 	private static final long SWEEP_MILLISECONDS = 100;
@@ -75,12 +80,13 @@
 	 * @param manifests supplies the manifest in force, or {@code null} while there is
 	 * none
 	 * @param events takes the events on the traffic thread
+	 * @param metrics the registry for the metrics, whose names begin with {@code proxy.}
 	 */
 	public ProxyServer(ProxyConfiguration configuration, MillisecondClock clock, Supplier<@Nullable Manifest> manifests,
-			Consumer<RequestEvent> events) {
+			Consumer<RequestEvent> events, MetricRegistry metrics) {
 		this.configuration = configuration;
 		this.context = new ProxyContext(configuration, clock, manifests, events, () -> this.liveDaemons.getAsInt(),
-				this.eventLoop);
+				this.eventLoop, new ProxyMetrics(metrics));
 	}
 
 	/**
@@ -115,7 +121,10 @@
 			this.listener = bound;
 			this.eventLoop.scheduleAtFixedRate(this.context::sweep, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS,
 					TimeUnit.MILLISECONDS);
-			return new HostAddress(address.address(), ((InetSocketAddress) bound.localAddress()).getPort());
+			HostAddress listening = new HostAddress(address.address(),
+					((InetSocketAddress) bound.localAddress()).getPort());
+			LOG.log(ProxyEvent.LISTENING, listening);
+			return listening;
 		}
 		catch (Exception exception) {
 			throw new ProxyStartException(address, exception);
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -24,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.dispatch.AttemptReport;
 import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.proxy.ProxyHeaders;
@@ -58,6 +59,10 @@
 
 	private boolean paused;
 
+	private long sentAt;
+
+	private long headAt;
+
 	private @Nullable BackendConnection connection;
 
 	private @Nullable HttpResponse response;
@@ -123,6 +128,7 @@
 		RequestBody body = this.exchange.body();
 		this.state = State.AWAITING;
 		this.sent = true;
+		this.sentAt = System.nanoTime();
 		if (this.exchange.isReplayable()) {
 			ByteBuf content = body.replay();
 			if (content.isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
@@ -152,7 +158,8 @@
 	 * @param last whether it is the last one
 	 */
 	void sendBody(ByteBuf piece, boolean last) {
-		if (this.connection == null || this.state == State.ENDED || this.requestSent) {
+		boolean nothing = !last && !piece.isReadable();
+		if (this.connection == null || this.state == State.ENDED || this.requestSent || nothing) {
 			piece.release();
 			return;
 		}
@@ -210,6 +217,7 @@
 		else {
 			this.response = head;
 			this.state = State.HELD;
+			this.headAt = System.nanoTime();
 			this.reusable = HttpUtil.isKeepAlive(head);
 			int status = head.status().code();
 			boolean shed = status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
@@ -346,6 +354,18 @@
 		return this.command.attempt();
 	}
 
+	BackendServerId server() {
+		return this.command.server().id();
+	}
+
+	/**
+	 * Returns how long the server took to answer.
+	 * @return the time from the first byte sent to the response head in nanoseconds
+	 */
+	long serverNanoseconds() {
+		return this.headAt - this.sentAt;
+	}
+
 	int status() {
 		return (this.response != null) ? this.response.status().code() : 0;
 	}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.proxy.ProxyEvent;
 
 /**
  * Connection to a backend server, which carries one attempt at a time.
@@ -17,6 +19,8 @@
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
+	private static final EventLog LOG = new EventLog(BackendConnection.class);
+
 	private final BackendResponseDecoder decoder;
 
 	private final ChannelFutureListener writeListener = (future) -> {
@@ -112,6 +116,7 @@
 		}
 		if (this.attempt == null) {
 			ReferenceCountUtil.release(message);
+			LOG.log(ProxyEvent.UNSOLICITED_BYTES, channel().remoteAddress());
 			close();
 			return;
 		}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
@@ -22,11 +22,13 @@
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.NetUtil;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.dispatch.ConnectionRequirement;
 import org.wigeonmast.manifest.BackendServer;
 import org.wigeonmast.proxy.ProxyConfiguration;
+import org.wigeonmast.proxy.ProxyEvent;
 
 /**
  * Connections to all backend servers.
@@ -37,18 +39,23 @@
  */
 final class BackendPool {
 
+	private static final EventLog LOG = new EventLog(BackendPool.class);
+
 	private final ProxyConfiguration configuration;
 
 	private final MillisecondClock clock;
 
 	private final IntSupplier liveDaemons;
 
+	private final ProxyMetrics metrics;
+
 	private final Bootstrap bootstrap;
 
 	private final Map<HostAddress, ServerConnections> servers = new HashMap<>();
 
-	BackendPool(ProxyConfiguration configuration, MillisecondClock clock, IntSupplier liveDaemons,
-			EventLoop eventLoop) {
+	BackendPool(ProxyConfiguration configuration, MillisecondClock clock, IntSupplier liveDaemons, EventLoop eventLoop,
+			ProxyMetrics metrics) {
+		this.metrics = metrics;
 		this.configuration = configuration;
 		this.clock = clock;
 		this.liveDaemons = liveDaemons;
@@ -80,6 +87,7 @@
 		if (connections.open >= bound) {
 			BackendConnection oldest = connections.idle.pollFirst();
 			if (oldest == null) {
+				LOG.log(ProxyEvent.CONNECTIONS_USED_UP, bound, server.id());
 				attempt.connectFailed("All " + bound + " connections to " + server.id() + " are in use");
 				return;
 			}
@@ -133,14 +141,6 @@
 		closeIdle(Long.MAX_VALUE);
 	}
 
-	/**
-	 * Returns the number of open connections.
-	 * @return the number, with those being made
-	 */
-	int open() {
-		return this.servers.values().stream().mapToInt((connections) -> connections.open).sum();
-	}
-
 	private int share(BackendServer server) {
 		return server.connections() / Math.max(1, this.liveDaemons.getAsInt());
 	}
@@ -170,8 +170,10 @@
 			.handler(new Initializer(decoder, connection))
 			.connect(new InetSocketAddress(inetAddress(address), server.address().port()));
 		connections.open++;
+		this.metrics.backendConnections(1);
 		connecting.channel().closeFuture().addListener((closed) -> {
 			connections.open--;
+			this.metrics.backendConnections(-1);
 			connections.idle.remove(connection);
 		});
 		connecting.addListener((future) -> {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.wigeonmast.proxy.internal;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 
 import io.netty.buffer.ByteBuf;
@@ -28,7 +29,9 @@
 import io.netty.util.ReferenceCountUtil;
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.EventLog;
 import org.wigeonmast.proxy.ProxyConfiguration;
+import org.wigeonmast.proxy.ProxyEvent;
 import org.wigeonmast.proxy.ProxyHeaders;
 
 /**
@@ -40,6 +43,8 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
+	private static final EventLog LOG = new EventLog(CallerConnection.class);
+
 	private static final long LINGER_MILLISECONDS = 1000;
 
 	private final ProxyContext context;
@@ -77,6 +82,7 @@
 	public void channelActive(ChannelHandlerContext from) {
 		this.since = now();
 		if (this.context.isFull()) {
+			LOG.log(ProxyEvent.CALLER_LIMIT, peer(), this.context.configuration().callerConnections());
 			from.close();
 			return;
 		}
@@ -181,6 +187,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext from, Throwable cause) {
+		if (!(cause instanceof DecoderException) && !(cause instanceof IOException)) {
+			LOG.log(ProxyEvent.UNEXPECTED_ERROR, cause);
+		}
 		if (!(cause instanceof DecoderException) || this.state == State.CLOSING) {
 			from.close();
 			return;
@@ -200,6 +209,8 @@
 		FullHttpResponse response = (rejection.problem() == Problem.NOT_RUN)
 				? ProblemResponses.notRun(rejection.detail(), id, this.context.configuration().timeouts().retryAfter())
 				: ProblemResponses.make(rejection.problem(), rejection.detail(), id, false);
+		this.context.metrics().count(ProxyMetrics.Outcome.REJECTED);
+		LOG.log(ProxyEvent.REQUEST_REJECTED, peer(), response.status().code(), rejection.detail());
 		respond(response, false);
 	}
 
@@ -343,7 +354,8 @@
 	 */
 	void checkTimeouts(long now) {
 		ProxyConfiguration.Timeouts timeouts = this.context.configuration().timeouts();
-		long waited = now - this.since;
+		long start = this.context.isDraining() ? Math.max(this.since, this.context.drainingSince()) : this.since;
+		long waited = now - start;
 		switch (this.state) {
 			case HEAD -> checkHead(waited, timeouts);
 			case BODY -> checkBody(waited, now, timeouts);
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
@@ -9,10 +9,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.RequestOutcome;
 import org.wigeonmast.dispatch.AttemptReport;
 import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.proxy.ProxyEvent;
 import org.wigeonmast.proxy.ProxyHeaders;
 
 /**
@@ -24,6 +26,8 @@
  */
 final class Exchange {
 
+	private static final EventLog LOG = new EventLog(Exchange.class);
+
 	private final ProxyContext context;
 
 	private final CallerConnection caller;
@@ -46,6 +50,8 @@
 
 	private boolean ended;
 
+	private long acceptedAt;
+
 	Exchange(ProxyContext context, CallerConnection caller, AdmittedHead head) {
 		this.context = context;
 		this.caller = caller;
@@ -98,6 +104,7 @@
 
 	private void accept(boolean held) {
 		this.accepted = true;
+		this.acceptedAt = System.nanoTime();
 		this.replayable = held;
 		this.context.emit(new RequestEvent.Accepted(this.head.describe(held)));
 		if (!this.body.isComplete()) {
@@ -172,12 +179,13 @@
 			attempt.end();
 			remove(attempt);
 		}
-		boolean started = this.relaying != null;
-		end();
-		if (started) {
+		if (this.relaying != null) {
+			end(ProxyMetrics.Outcome.BROKEN);
 			this.caller.breakTransfer();
 			return;
 		}
+		boolean notRun = outcome instanceof RequestOutcome.NotRun && !this.mayHaveRun;
+		end(notRun ? ProxyMetrics.Outcome.NOT_RUN : ProxyMetrics.Outcome.UNKNOWN);
 		this.caller.respond(refusal(outcome), this.body.isComplete());
 	}
 
@@ -186,7 +194,10 @@
 		return switch (outcome) {
 			case RequestOutcome.NotRun notRun when !this.mayHaveRun ->
 				ProblemResponses.notRun(notRun.reason(), id, notRun.retryAfter());
-			case RequestOutcome.NotRun notRun -> unknown(notRun.reason(), id);
+			case RequestOutcome.NotRun notRun -> {
+				LOG.log(ProxyEvent.REFUSAL_CORRECTED, this.head.id());
+				yield unknown(notRun.reason(), id);
+			}
 			case RequestOutcome.Unknown unknown -> unknown(unknown.reason(), id);
 			case RequestOutcome.Answered answered -> unknown("The answer " + answered.status() + " was lost", id);
 		};
@@ -216,6 +227,8 @@
 			response.headers().remove(ProxyHeaders.REQUEST_EXECUTION);
 		}
 		this.caller.respondHead(response, this.head.shownId(), this.body.isComplete());
+		long elapsed = System.nanoTime() - this.acceptedAt;
+		this.context.metrics().addedLatency(elapsed - attempt.serverNanoseconds());
 	}
 
 	/**
@@ -241,7 +254,7 @@
 			return;
 		}
 		attempt.end();
-		end();
+		end(ProxyMetrics.Outcome.ANSWERED);
 		report(attempt, new AttemptReport.Completed(attempt.status()));
 		this.caller.exchangeEnded();
 	}
@@ -274,7 +287,8 @@
 	void attemptFailed(Attempt attempt, AttemptReport report) {
 		remove(attempt);
 		if (attempt == this.relaying) {
-			end();
+			LOG.log(ProxyEvent.TRANSFER_BROKEN, this.head.id(), attempt.server(), report);
+			end(ProxyMetrics.Outcome.BROKEN);
 			this.caller.breakTransfer();
 		}
 		report(attempt, report);
@@ -282,10 +296,14 @@
 
 	/** Ends the exchange because the caller closed its connection. */
 	void callerLeft() {
+		leave(ProxyMetrics.Outcome.CALLER_LEFT);
+	}
+
+	private void leave(ProxyMetrics.Outcome outcome) {
 		if (this.ended) {
 			return;
 		}
-		end();
+		end(outcome);
 		if (this.accepted) {
 			this.context.emit(new RequestEvent.CallerLeft(this.head.id()));
 		}
@@ -306,7 +324,7 @@
 	void abandon(Problem problem, String detail) {
 		boolean started = this.relaying != null;
 		this.attempts.forEach((attempt) -> this.mayHaveRun |= attempt.mayHaveRun());
-		callerLeft();
+		leave(ProxyMetrics.Outcome.REJECTED);
 		if (started) {
 			this.caller.breakTransfer();
 			return;
@@ -338,9 +356,9 @@
 		return this.accepted;
 	}
 
-	private void end() {
+	private void end(ProxyMetrics.Outcome outcome) {
 		this.ended = true;
-		this.context.end(this.head.id());
+		this.context.end(this.head.id(), outcome);
 		for (Attempt attempt : List.copyOf(this.attempts)) {
 			attempt.end();
 		}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
@@ -11,12 +11,14 @@
 
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.core.RequestId;
 import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.dispatch.RequestEvent;
 import org.wigeonmast.manifest.Manifest;
 import org.wigeonmast.proxy.ProxyConfiguration;
+import org.wigeonmast.proxy.ProxyEvent;
 
 /**
  * What the connections and exchanges of one proxy share.
@@ -25,6 +27,8 @@
  */
 public final class ProxyContext {
 
+	private static final EventLog LOG = new EventLog(ProxyContext.class);
+
 	private final ProxyConfiguration configuration;
 
 	private final MillisecondClock clock;
@@ -35,6 +39,8 @@
 
 	private final EventLoop eventLoop;
 
+	private final ProxyMetrics metrics;
+
 	private final BackendPool pool;
 
 	private final RequestAdmission admission;
@@ -47,6 +53,8 @@
 
 	private @Nullable CompletableFuture<Void> drained;
 
+	private long drainingSince;
+
 	/**
 	 * Creates a context.
 	 * @param configuration the configuration
@@ -55,16 +63,18 @@
 	 * @param events takes the events
 	 * @param liveDaemons supplies the number of live daemons
 	 * @param eventLoop the event loop of the traffic thread
+	 * @param metrics the metrics
 	 */
 	public ProxyContext(ProxyConfiguration configuration, MillisecondClock clock,
 			Supplier<@Nullable Manifest> manifests, Consumer<RequestEvent> events, IntSupplier liveDaemons,
-			EventLoop eventLoop) {
+			EventLoop eventLoop, ProxyMetrics metrics) {
+		this.metrics = metrics;
 		this.configuration = configuration;
 		this.clock = clock;
 		this.manifests = manifests;
 		this.events = events;
 		this.eventLoop = eventLoop;
-		this.pool = new BackendPool(configuration, clock, liveDaemons, eventLoop);
+		this.pool = new BackendPool(configuration, clock, liveDaemons, eventLoop, metrics);
 		this.admission = new RequestAdmission(this);
 	}
 
@@ -97,7 +107,9 @@
 			this.drained.whenComplete((nothing, exception) -> done.complete(null));
 			return;
 		}
+		LOG.log(ProxyEvent.DRAINING, this.callers.size());
 		this.drained = done;
+		this.drainingSince = this.clock.milliseconds();
 		completeDrain();
 	}
 
@@ -112,7 +124,9 @@
 	private void completeDrain() {
 		if (this.drained != null && this.callers.isEmpty()) {
 			this.pool.closeIdle();
-			this.drained.complete(null);
+			if (this.drained.complete(null)) {
+				LOG.log(ProxyEvent.DRAINED);
+			}
 		}
 	}
 
@@ -120,6 +134,18 @@
 		return this.drained != null;
 	}
 
+	/**
+	 * Returns when the drain began.
+	 * @return the monotonic time in milliseconds
+	 */
+	long drainingSince() {
+		return this.drainingSince;
+	}
+
+	ProxyMetrics metrics() {
+		return this.metrics;
+	}
+
 	ProxyConfiguration configuration() {
 		return this.configuration;
 	}
@@ -150,10 +176,13 @@
 
 	void add(CallerConnection caller) {
 		this.callers.add(caller);
+		this.metrics.callerConnections(1);
 	}
 
 	void remove(CallerConnection caller) {
-		this.callers.remove(caller);
+		if (this.callers.remove(caller)) {
+			this.metrics.callerConnections(-1);
+		}
 		completeDrain();
 	}
 
@@ -163,10 +192,13 @@
 
 	void begin(RequestId id, Exchange exchange) {
 		this.exchanges.put(id, exchange);
+		this.metrics.requestStarted();
 	}
 
-	void end(RequestId id) {
-		this.exchanges.remove(id);
+	void end(RequestId id, ProxyMetrics.Outcome outcome) {
+		if (this.exchanges.remove(id) != null) {
+			this.metrics.requestEnded(outcome);
+		}
 	}
 
 	/**
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyMetrics.java
@@ -0,0 +1,112 @@
+package org.wigeonmast.proxy.internal;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+
+/**
+ * Metrics of the proxy.
+ * <p>
+ * Thread safety: usable from any thread.
+ */
+public final class ProxyMetrics {
+
+	private static final String REQUESTS = "proxy.requests";
+
+	private static final String IN_FLIGHT = "proxy.in-flight";
+
+	private static final String OUTCOMES = "proxy.outcomes.";
+
+	private static final String ADDED_LATENCY = "proxy.added-latency";
+
+	private static final String BACKEND_CONNECTIONS = "proxy.backend-connections";
+
+	private static final String CALLER_CONNECTIONS = "proxy.caller-connections";
+
+	private final Meter requests;
+
+	private final Counter inFlight;
+
+	private final Map<Outcome, Meter> outcomes = new EnumMap<>(Outcome.class);
+
+	private final Timer addedLatency;
+
+	private final Counter backendConnections;
+
+	private final Counter callerConnections;
+
+	/**
+	 * Registers the metrics.
+	 * @param registry the registry
+	 */
+	public ProxyMetrics(MetricRegistry registry) {
+		this.requests = registry.meter(REQUESTS);
+		this.inFlight = registry.counter(IN_FLIGHT);
+		for (Outcome outcome : Outcome.values()) {
+			this.outcomes.put(outcome,
+					registry.meter(OUTCOMES + outcome.name().toLowerCase(Locale.ROOT).replace('_', '-')));
+		}
+		this.addedLatency = registry.timer(ADDED_LATENCY);
+		this.backendConnections = registry.counter(BACKEND_CONNECTIONS);
+		this.callerConnections = registry.counter(CALLER_CONNECTIONS);
+	}
+
+	void requestStarted() {
+		this.requests.mark();
+		this.inFlight.inc();
+	}
+
+	void requestEnded(Outcome outcome) {
+		this.inFlight.dec();
+		count(outcome);
+	}
+
+	void count(Outcome outcome) {
+		Meter meter = this.outcomes.get(outcome);
+		if (meter != null) {
+			meter.mark();
+		}
+	}
+
+	void addedLatency(long nanoseconds) {
+		this.addedLatency.update(nanoseconds, TimeUnit.NANOSECONDS);
+	}
+
+	void backendConnections(int change) {
+		this.backendConnections.inc(change);
+	}
+
+	void callerConnections(int change) {
+		this.callerConnections.inc(change);
+	}
+
+	/** How a request ended for the proxy. */
+	enum Outcome {
+
+		/** The whole response was relayed. */
+		ANSWERED,
+
+		/** Refused by dispatch, not run. */
+		NOT_RUN,
+
+		/** Refused by dispatch, may have run. */
+		UNKNOWN,
+
+		/** Rejected by the proxy. */
+		REJECTED,
+
+		/** The response was cut short. */
+		BROKEN,
+
+		/** The caller left before the end. */
+		CALLER_LEFT
+
+	}
+
+}
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
@@ -1,9 +1,12 @@
 package org.wigeonmast.proxy;
 
+import java.time.Instant;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.UnaryOperator;
 
+import com.codahale.metrics.MetricRegistry;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.core.RequestOutcome;
@@ -23,7 +26,7 @@
 
 	private static final long ROUTE_TIMEOUT = 15_000;
 
-	private final MillisecondClock clock = MillisecondClock.system();
+	private final ShiftedClock clock = new ShiftedClock();
 
 	private final BlockingQueue<RequestEvent> events = new LinkedBlockingQueue<>();
 
@@ -42,7 +45,8 @@
 	TestProxy(BackendServer backend, UnaryOperator<ProxyConfiguration> change) throws ProxyStartException {
 		this.backend = backend;
 		ProxyConfiguration configuration = change.apply(ProxyConfiguration.defaults(new HostAddress("127.0.0.1", 0)));
-		this.server = new ProxyServer(configuration, this.clock, () -> new FakeManifest(ROUTE_TIMEOUT), this::handle);
+		this.server = new ProxyServer(configuration, this.clock, () -> new FakeManifest(ROUTE_TIMEOUT), this::handle,
+				new MetricRegistry());
 		this.address = this.server.start();
 	}
 
@@ -54,6 +58,14 @@
 		this.backend = backend;
 	}
 
+	/**
+	 * Lets time pass for the proxy's clock; timers of attempts are not affected.
+	 * @param milliseconds the time
+	 */
+	void passTime(long milliseconds) {
+		this.clock.shift.addAndGet(milliseconds);
+	}
+
 	ProxyServer server() {
 		return this.server;
 	}
@@ -120,4 +132,23 @@
 		this.server.close();
 	}
 
+	/** System clock that can be moved forward. */
+	private static final class ShiftedClock implements MillisecondClock {
+
+		private final MillisecondClock system = MillisecondClock.system();
+
+		private final AtomicLong shift = new AtomicLong();
+
+		@Override
+		public long milliseconds() {
+			return this.system.milliseconds() + this.shift.get();
+		}
+
+		@Override
+		public Instant timeOfDay() {
+			return this.system.timeOfDay();
+		}
+
+	}
+
 }
