--- /dev/null
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/AttemptTests.java
@@ -0,0 +1,202 @@
+package org.wigeonmast.proxy;
+
+import java.net.ServerSocket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.dispatch.AttemptReport;
+import org.wigeonmast.dispatch.ConnectionRequirement;
+import org.wigeonmast.manifest.BackendServer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of attempts and of the connections to a backend server.
+ */
+class AttemptTests {
+
+	private static final String GET = "GET /s HTTP/1.1\r\nHost: a\r\n\r\n";
+
+	private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+	// Guards against a refused connection that is reported as if the request could have
+	// been run, and against one that the caller is not told to repeat.
+	@Test
+	void refusedConnectionSendsNothing() throws Exception {
+		int port;
+		try (ServerSocket closed = new ServerSocket(0)) {
+			port = closed.getLocalPort();
+		}
+		try (ScriptedServer other = ScriptedServer.answering(OK)) {
+			BackendServer like = other.description(4);
+			BackendServer gone = new BackendServer(like.id(), new HostAddress("127.0.0.1", port), like.failureDomain(),
+					like.slots(), like.connections());
+			try (TestProxy proxy = new TestProxy(gone); RawConnection caller = proxy.connect()) {
+				caller.write(GET);
+				String answer = caller.readMessage();
+				assertThat(answer).startsWith("HTTP/1.1 503 ");
+				assertThat(RawConnection.header(answer, "retry-after")).isEqualTo("2");
+				assertThat(RawConnection.header(answer, "request-execution")).isEqualTo("not-run");
+				assertThat(answer).contains("\"execution\":\"not-run\"");
+			}
+		}
+	}
+
+	// Guards against a request that reached a server and is called not run.
+	@Test
+	void connectionClosedAfterTheRequestIsBroken() throws Exception {
+		ScriptedServer.Script close = (connection) -> {
+			connection.readMessage();
+			connection.close();
+		};
+		try (ScriptedServer backend = new ScriptedServer(close);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET);
+			String answer = caller.readMessage();
+			assertThat(answer).startsWith("HTTP/1.1 502 ");
+			assertThat(answer).contains("\"execution\":\"unknown\"");
+			assertThat(RawConnection.header(answer, "retry-after")).isEmpty();
+			assertThat(proxy.nextReport(AttemptReport.Broken.class).responseStarted()).isFalse();
+		}
+	}
+
+	// Guards against a connection whose answer is late and reaches the next request.
+	@Test
+	void timedOutConnectionIsNotReused() throws Exception {
+		AtomicInteger connections = new AtomicInteger();
+		CompletableFuture<String> rest = new CompletableFuture<>();
+		ScriptedServer.Script firstIsSilent = (connection) -> {
+			connection.readMessage();
+			if (connections.incrementAndGet() == 1) {
+				rest.complete(connection.readAll());
+			}
+			connection.write(OK);
+		};
+		try (ScriptedServer backend = new ScriptedServer(firstIsSilent);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write("GET /s HTTP/1.1\r\nHost: a\r\nRequest-Timeout: 50\r\n\r\n");
+			assertThat(caller.readMessage()).startsWith("HTTP/1.1 504 ");
+			assertThat(proxy.nextReport(AttemptReport.Broken.class).timedOut()).isTrue();
+			assertThat(rest.get(Awaiting.SECONDS, TimeUnit.SECONDS)).isEmpty();
+			caller.write(GET);
+			assertThat(caller.readMessage()).endsWith("\r\n\r\nok");
+		}
+	}
+
+	// Guards against non-idempotent work on a connection that may have gone silent, and
+	// against idle connections that are kept for ever.
+	@ParameterizedTest
+	@CsvSource({ "ANY, 900, 1", "PROVEN, 900, 1", "ANY, 5000, 1", "PROVEN, 5000, 2" })
+	void provenConnectionsAreRecent(ConnectionRequirement requirement, long idle, int connections) throws Exception {
+		try (ScriptedServer backend = ScriptedServer.answering(OK);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			proxy.setRequirement(requirement);
+			caller.write(GET);
+			caller.readMessage();
+			proxy.nextReport(AttemptReport.Completed.class);
+			proxy.passTime(idle);
+			caller.write(GET);
+			caller.readMessage();
+			proxy.nextReport(AttemptReport.Completed.class);
+			assertThat(backend.pendingConnections()).isEqualTo(connections);
+		}
+	}
+
+	// Guards against more connections than this daemon's share of the server's bound.
+	@Test
+	void connectionsAreBounded() throws Exception {
+		CompletableFuture<Void> reached = new CompletableFuture<>();
+		CompletableFuture<Void> release = new CompletableFuture<>();
+		ScriptedServer.Script wait = (connection) -> {
+			connection.readMessage();
+			reached.complete(null);
+			release.get(Awaiting.SECONDS, TimeUnit.SECONDS);
+			connection.write(OK);
+		};
+		try (ScriptedServer backend = new ScriptedServer(wait);
+				TestProxy proxy = new TestProxy(backend.description(3));
+				RawConnection first = proxy.connect();
+				RawConnection second = proxy.connect()) {
+			proxy.server().setLiveDaemons(() -> 3);
+			first.write(GET);
+			reached.get(Awaiting.SECONDS, TimeUnit.SECONDS);
+			second.write(GET);
+			assertThat(second.readMessage()).startsWith("HTTP/1.1 503 ");
+			proxy.nextReport(AttemptReport.NothingSent.class);
+			release.complete(null);
+			assertThat(first.readMessage()).endsWith("ok");
+		}
+	}
+
+	// Guards against bytes without a request that are taken for the next response.
+	@Test
+	void unsolicitedBytesCloseTheConnection() throws Exception {
+		ScriptedServer.Script twice = (connection) -> {
+			while (true) {
+				connection.readMessage();
+				connection.write(OK + OK.replace("ok", "no"));
+			}
+		};
+		try (ScriptedServer backend = new ScriptedServer(twice);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			for (int i = 0; i < 10; i++) {
+				caller.write(GET);
+				assertThat(caller.readMessage()).endsWith("\r\n\r\nok");
+			}
+		}
+	}
+
+	// Guards against responses whose length two parties could understand differently.
+	@ParameterizedTest
+	@CsvSource({ "Content-Length: 2;Transfer-Encoding: chunked", "Content-Length: 2;Content-Length: 3",
+			"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Content-Length: x" })
+	void ambiguousResponsesBreak(String fields) throws Exception {
+		String response = "HTTP/1.1 200 OK\r\n" + fields.replace(";", "\r\n") + "\r\n\r\n0\r\n\r\n";
+		try (ScriptedServer backend = ScriptedServer.answering(response);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET);
+			assertThat(caller.readMessage()).startsWith("HTTP/1.1 502 ");
+		}
+	}
+
+	// Guards against a protocol switch that nobody asked for.
+	@Test
+	void switchingProtocolsBreaks() throws Exception {
+		try (ScriptedServer backend = ScriptedServer
+			.answering("HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n");
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET);
+			assertThat(caller.readMessage()).startsWith("HTTP/1.1 502 ");
+		}
+	}
+
+	// Guards against signs of load shedding and leaving that dispatch does not see.
+	@ParameterizedTest
+	@CsvSource({ "Request-Execution: not-run, true, false", "Server-State: leaving, false, true",
+			"Connection: close, false, true", "X: y, false, false" })
+	void readsServerStates(String field, boolean notRun, boolean leaving) throws Exception {
+		String response = "HTTP/1.1 503 Busy\r\n" + field + "\r\nContent-Length: 0\r\n\r\n";
+		try (ScriptedServer backend = ScriptedServer.answering(response);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET);
+			String answer = caller.readMessage();
+			assertThat(answer).startsWith("HTTP/1.1 503 ");
+			assertThat(RawConnection.header(answer, "server-state")).isEmpty();
+			assertThat(proxy.nextReport(AttemptReport.ResponseStarted.class))
+				.isEqualTo(new AttemptReport.ResponseStarted(503, notRun, leaving));
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/StreamingTests.java
@@ -0,0 +1,194 @@
+package org.wigeonmast.proxy;
+
+import java.net.ConnectException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.PooledByteBufAllocator;
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.dispatch.AttemptReport;
+import org.wigeonmast.dispatch.RequestEvent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of bodies that are passed on in pieces, and of the drain.
+ */
+class StreamingTests {
+
+	private static final int PIECE = 64 * 1024;
+
+	private static final int PIECES = 1500;
+
+	/** Bytes that the proxy may use for a body of {@link #PIECES} pieces. */
+	private static final long MEMORY = 24L * 1024 * 1024;
+
+	private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+	// Guards against a slow caller for whom the whole response is held in memory.
+	@Test
+	void downloadIsHeldBackByTheCaller() throws Exception {
+		CompletableFuture<Void> written = new CompletableFuture<>();
+		ScriptedServer.Script send = (connection) -> {
+			connection.readMessage();
+			connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + (long) PIECES * PIECE + "\r\n\r\n");
+			for (int i = 0; i < PIECES; i++) {
+				connection.write(new byte[PIECE]);
+			}
+			written.complete(null);
+		};
+		try (ScriptedServer backend = new ScriptedServer(send);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write("GET /s HTTP/1.1\r\nHost: a\r\n\r\n");
+			caller.readHead();
+			long before = usedMemory();
+			long most = 0;
+			for (int i = 0; i < PIECES; i++) {
+				assertThat(caller.read(PIECE).length).isEqualTo(PIECE);
+				most = Math.max(most, usedMemory() - before);
+			}
+			assertThat(most).isLessThan(MEMORY);
+			written.get(Awaiting.SECONDS, TimeUnit.SECONDS);
+			proxy.nextReport(AttemptReport.Completed.class);
+		}
+	}
+
+	// Guards against a slow server for which the whole request is held in memory.
+	@Test
+	void uploadIsHeldBackByTheServer() throws Exception {
+		CompletableFuture<Long> most = new CompletableFuture<>();
+		ScriptedServer.Script receive = (connection) -> {
+			connection.readHead();
+			long before = usedMemory();
+			long used = 0;
+			for (int i = 0; i < PIECES; i++) {
+				assertThat(connection.read(PIECE).length).isEqualTo(PIECE);
+				used = Math.max(used, usedMemory() - before);
+			}
+			most.complete(used);
+			connection.write(OK);
+		};
+		try (ScriptedServer backend = new ScriptedServer(receive);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write("PUT /s HTTP/1.1\r\nHost: a\r\nContent-Length: " + (long) PIECES * PIECE + "\r\n\r\n");
+			for (int i = 0; i < PIECES; i++) {
+				caller.write(new byte[PIECE]);
+			}
+			assertThat(caller.readMessage()).endsWith("\r\n\r\nok");
+			assertThat(most.get(Awaiting.SECONDS, TimeUnit.SECONDS)).isLessThan(MEMORY);
+			assertThat(proxy.next(RequestEvent.Accepted.class).request().replayable()).isFalse();
+		}
+	}
+
+	// Guards against a stack that grows with the number of chunks in one read.
+	@Test
+	void manySmallChunksArrive() throws Exception {
+		int chunks = 40_000;
+		CompletableFuture<Integer> received = new CompletableFuture<>();
+		ScriptedServer.Script receive = (connection) -> {
+			received.complete(Integer.parseInt(RawConnection.header(connection.readMessage(), "content-length")));
+			connection.write(OK);
+		};
+		try (ScriptedServer backend = new ScriptedServer(receive);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write("PUT /s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+			caller.write("1\r\na\r\n".repeat(chunks) + "0\r\n\r\n");
+			assertThat(caller.readMessage()).endsWith("\r\n\r\nok");
+			assertThat(received.get(Awaiting.SECONDS, TimeUnit.SECONDS)).isEqualTo(chunks);
+		}
+	}
+
+	// Guards against an answer that is lost because the server gave it before it had read
+	// the whole request.
+	@Test
+	void earlyAnswerReachesTheCaller() throws Exception {
+		ScriptedServer.Script refuse = (connection) -> {
+			connection.readHead();
+			connection.write("HTTP/1.1 413 Large\r\nContent-Length: 2\r\n\r\nno");
+			connection.readAll();
+		};
+		try (ScriptedServer backend = new ScriptedServer(refuse);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write("PUT /s HTTP/1.1\r\nHost: a\r\nContent-Length: 10000000\r\n\r\nabc");
+			String answer = caller.readAll();
+			assertThat(answer).startsWith("HTTP/1.1 413 ");
+			assertThat(answer).endsWith("\r\n\r\nno");
+			assertThat(RawConnection.header(answer, "connection")).isEqualTo("close");
+		}
+	}
+
+	// Guards against bodies without a stated length that exceed the limit.
+	@Test
+	void chunkedBodyIsBounded() throws Exception {
+		ProxyConfiguration.Limits small = new ProxyConfiguration.Limits(1000, 1000, 100_000, 1000, 10_000, 1000);
+		try (ScriptedServer backend = new ScriptedServer(RawConnection::readAll);
+				TestProxy proxy = new TestProxy(backend.description(4),
+						(configuration) -> new ProxyConfiguration(configuration.bindAddress(),
+								configuration.daemonName(), configuration.callerConnections(), small,
+								configuration.timeouts()));
+				RawConnection caller = proxy.connect()) {
+			caller.write("PUT /s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+			for (int i = 0; i < 11; i++) {
+				caller.write("2710\r\n" + "x".repeat(10_000) + "\r\n");
+			}
+			String answer = caller.readAll();
+			assertThat(answer).startsWith("HTTP/1.1 413 ");
+			assertThat(answer).contains("\"execution\":\"unknown\"");
+			proxy.next(RequestEvent.CallerLeft.class);
+		}
+	}
+
+	// Guards against a planned stop that cuts a transfer or keeps accepting.
+	@Test
+	void drainFinishesADownload() throws Exception {
+		CompletableFuture<Void> drained = new CompletableFuture<>();
+		ScriptedServer.Script send = (connection) -> {
+			connection.readMessage();
+			connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + 2 * PIECE + "\r\n\r\n");
+			connection.write(new byte[PIECE]);
+			drained.get(Awaiting.SECONDS, TimeUnit.SECONDS);
+			connection.write(new byte[PIECE]);
+			connection.readMessage();
+			connection.write(OK);
+		};
+		try (ScriptedServer backend = new ScriptedServer(send);
+				TestProxy proxy = new TestProxy(backend.description(1));
+				RawConnection caller = proxy.connect()) {
+			caller.write("GET /s HTTP/1.1\r\nHost: a\r\n\r\n");
+			caller.readHead();
+			CompletableFuture<Void> finished = proxy.server().drain();
+			assertThat(refusesConnections(proxy)).isTrue();
+			assertThat(finished.isDone()).isFalse();
+			drained.complete(null);
+			assertThat(caller.read(2 * PIECE).length).isEqualTo(2 * PIECE);
+			caller.write("GET /s HTTP/1.1\r\nHost: a\r\n\r\n");
+			String answer = caller.readAll();
+			assertThat(answer).endsWith("\r\n\r\nok");
+			assertThat(RawConnection.header(answer, "connection")).isEqualTo("close");
+			caller.close();
+			finished.get(Awaiting.SECONDS, TimeUnit.SECONDS);
+		}
+	}
+
+	private static boolean refusesConnections(TestProxy proxy) throws Exception {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Awaiting.SECONDS);
+		while (System.nanoTime() < end) {
+			try {
+				proxy.connect().close();
+			}
+			catch (ConnectException exception) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static long usedMemory() {
+		return PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory();
+	}
+
+}
