--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/CoordinatorInput.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/CoordinatorInput.java
@@ -1,6 +1,7 @@
 package org.wigeonmast.dispatch;
 
 import java.util.List;
+import java.util.Set;
 
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.Region;
@@ -82,4 +83,27 @@
 
 	}
 
+	/**
+	 * The regions in which daemons may accept requests, from the manifest. Until this is
+	 * known no possible repeat is admitted.
+	 *
+	 * @param regions the regions
+	 */
+	record RegionsChanged(Set<Region> regions) implements CoordinatorInput {
+
+		public RegionsChanged {
+			regions = Set.copyOf(regions);
+		}
+
+	}
+
+	/**
+	 * The difference of the time of day to the monotonic time; without it the age of a
+	 * key is taken to be the lifetime of keys.
+	 *
+	 * @param offset the difference in milliseconds
+	 */
+	record TimeOfDay(long offset) implements CoordinatorInput {
+	}
+
 }
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/RefusalReason.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/RefusalReason.java
@@ -25,8 +25,8 @@
 	/** The caller left before the request was sent. */
 	CALLER_LEFT("the caller closed its connection before the request was sent"),
 
-	/** The request with the same key was not run, and its time is over. */
-	KEY_NOT_RUN("an earlier request with this key was not run");
+	/** No owner could register the idempotency key. */
+	KEY_NOT_REGISTERED("the idempotency key could not be registered");
 
 	private final String text;
 
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/RequestCoordinator.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/RequestCoordinator.java
@@ -15,6 +15,7 @@
 import org.wigeonmast.core.Step;
 import org.wigeonmast.dispatch.internal.ActiveRequest;
 import org.wigeonmast.dispatch.internal.EffectBuffer;
+import org.wigeonmast.dispatch.internal.KeyAdmission;
 import org.wigeonmast.dispatch.internal.RefusalSummary;
 import org.wigeonmast.dispatch.internal.RegionView;
 import org.wigeonmast.dispatch.internal.ServiceView;
@@ -32,11 +33,13 @@
  * thread. {@link CoordinatorInput.ServiceChanged} comes for each service of each accepted
  * manifest, {@link CoordinatorInput.OwnersChanged} after each change of membership for
  * each service and region, {@link CoordinatorInput.HealthChanged} after each change of
- * the local health view, {@link CoordinatorInput.Received} for each dispatch message that
- * the input lists. Without owners all work is dispatched directly. After each call the
- * daemon carries out the effects in order: {@link DispatchEffect.Exchange} goes to the
- * proxy, {@link DispatchEffect.Send} to the link or, if this daemon is the receiver, back
- * to its own components as received, {@link DispatchEffect.Observed} to the local health
+ * the local health view, {@link CoordinatorInput.RegionsChanged} with each manifest,
+ * {@link CoordinatorInput.TimeOfDay} at the start and every few minutes,
+ * {@link CoordinatorInput.Received} for each dispatch message that the input lists.
+ * Without owners all work is dispatched directly. After each call the daemon carries out
+ * the effects in order: {@link DispatchEffect.Exchange} goes to the proxy,
+ * {@link DispatchEffect.Send} to the link or, if this daemon is the receiver, back to its
+ * own components as received, {@link DispatchEffect.Observed} to the local health
  * component as evidence of this daemon only (owners pool the evidence that they receive
  * in reports), {@link DispatchEffect.Audit}, {@link DispatchEffect.Logged} and
  * {@link DispatchEffect.Ended} to audit trail, log and metrics. It calls
@@ -55,6 +58,12 @@
 
 	private static final String SENT = "the request was sent and no complete answer was received";
 
+	private static final String REPEATED = "an earlier request with this key may have been run";
+
+	private static final String REPEATED_ANSWERED = "an earlier request with this key was answered with status ";
+
+	private static final String NOT_VOUCHED = "an earlier request with this key cannot be ruled out";
+
 	private final EffectBuffer effects = new EffectBuffer();
 
 	private final Map<ServiceName, ServiceView> services = new HashMap<>();
@@ -65,6 +74,8 @@
 
 	private final SlotClient slots;
 
+	private final KeyAdmission keys;
+
 	private final RefusalSummary refusals;
 
 	/**
@@ -76,6 +87,7 @@
 	public RequestCoordinator(DaemonId self, Region home, RandomGenerator random) {
 		this.home = home;
 		this.slots = new SlotClient(self, home, random, this.effects, this::refuse);
+		this.keys = new KeyAdmission(home, this.effects, new AdmissionListener());
 		this.refusals = new RefusalSummary(self);
 	}
 
@@ -98,6 +110,8 @@
 					this.slots.ownersChanged(now, view.region(changed.region()), changed.owners(), view);
 				}
 			}
+			case CoordinatorInput.RegionsChanged changed -> this.keys.setRegions(changed.regions());
+			case CoordinatorInput.TimeOfDay time -> this.keys.setTimeOfDayOffset(time.offset());
 		}
 		return this.effects.drain();
 	}
@@ -105,12 +119,13 @@
 	@Override
 	public List<DispatchEffect> tick(long now) {
 		this.slots.tick(now, this::overdue);
+		this.keys.tick(now, (request) -> this.services.get(request.description.service()));
 		return this.effects.drain();
 	}
 
 	@Override
 	public long nextTick() {
-		return this.slots.nextTick();
+		return Math.min(this.slots.nextTick(), this.keys.nextTick());
 	}
 
 	/**
@@ -155,6 +170,7 @@
 			case DispatchMessage.SlotGrant grant -> this.slots.granted(now, sender, grant);
 			case DispatchMessage.SlotQueued queued -> this.slots.queued(now, sender, queued);
 			case DispatchMessage.SlotRefusal refusal -> this.slots.refused(now, sender, refusal);
+			case DispatchMessage.KeyVerdict verdict -> this.keys.verdict(now, sender, verdict);
 			case DispatchMessage.DispatchAdvice advice -> advised(now, sender, advice);
 			default -> {
 				// Messages to the owner side are none of this component's.
@@ -180,7 +196,13 @@
 		}
 		ActiveRequest request = new ActiveRequest(description);
 		this.requests.put(description.id(), request);
-		dispatch(now, request);
+		ServiceView service = this.services.get(description.service());
+		if (service != null && description.key() != null && !description.idempotent()) {
+			this.keys.admit(now, request, service);
+		}
+		else {
+			dispatch(now, request);
+		}
 	}
 
 	private void dispatch(long now, ActiveRequest request) {
@@ -333,7 +355,38 @@
 
 	private void end(ActiveRequest request, RequestOutcome outcome) {
 		this.requests.remove(request.id());
+		request.state = ActiveRequest.State.NEW;
+		this.keys.ended(request, switch (outcome) {
+			case RequestOutcome.Answered answered -> new KeyResult(KeyResult.Execution.ANSWERED, answered.status());
+			case RequestOutcome.NotRun _ -> new KeyResult(KeyResult.Execution.NOT_RUN, 0);
+			case RequestOutcome.Unknown _ -> new KeyResult(KeyResult.Execution.UNKNOWN, 0);
+		});
 		this.effects.add(new DispatchEffect.Ended(request.id(), outcome));
 	}
 
+	private final class AdmissionListener implements KeyAdmission.Listener {
+
+		@Override
+		public void admitted(long now, ActiveRequest request) {
+			dispatch(now, request);
+		}
+
+		@Override
+		public void seen(ActiveRequest request, @Nullable KeyResult outcome) {
+			boolean answered = outcome != null && outcome.execution() == KeyResult.Execution.ANSWERED;
+			refuseUnknown(request, answered ? REPEATED_ANSWERED + outcome.status() : REPEATED);
+		}
+
+		@Override
+		public void notVouched(ActiveRequest request) {
+			refuseUnknown(request, NOT_VOUCHED);
+		}
+
+		@Override
+		public void refused(long now, ActiveRequest request, RefusalReason reason) {
+			refuse(now, request, Step.REGISTER, reason, 0);
+		}
+
+	}
+
 }
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/ActiveRequest.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/ActiveRequest.java
@@ -1,6 +1,8 @@
 package org.wigeonmast.dispatch.internal;
 
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -26,6 +28,12 @@
 	/** Servers that were tried. */
 	public final Set<BackendServerId> excluded = new LinkedHashSet<>();
 
+	/** The questions about its key, by the number of the query. */
+	public final Map<Long, KeyQuestion> questions = new LinkedHashMap<>();
+
+	/** Until when a first attempt waits for its registration. */
+	public long registerUntil;
+
 	/** What the request waits for. */
 	public State state = State.NEW;
 
@@ -116,6 +124,38 @@
 				? new HeldSlot(this.ticket, used.id(), this.description.workClass(), remaining(now)) : null;
 	}
 
+	/**
+	 * Returns the number of the query that an owner was asked with.
+	 * @param owner the owner
+	 * @return the number, 0 if it was not asked
+	 */
+	public long queryTo(DaemonId owner) {
+		for (Map.Entry<Long, KeyQuestion> entry : this.questions.entrySet()) {
+			if (entry.getValue().owner().equals(owner)) {
+				return entry.getKey();
+			}
+		}
+		return 0;
+	}
+
+	/**
+	 * A question about the request's key.
+	 *
+	 * @param owner the owner that was asked
+	 * @param vouched whether it vouched for the key or need not vouch any more
+	 */
+	public record KeyQuestion(DaemonId owner, boolean vouched) {
+
+		/**
+		 * Returns the question with its answer.
+		 * @return the question
+		 */
+		public KeyQuestion answered() {
+			return new KeyQuestion(this.owner, true);
+		}
+
+	}
+
 	/** What a request waits for. */
 	public enum State {
 
