--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/EjectionPermits.java
@@ -0,0 +1,356 @@
+package org.wigeonmast.health;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.health.internal.PermitAttempt;
+import org.wigeonmast.health.internal.ServiceViews;
+
+/**
+ * Obtains and renews the ejection permits of one service for its owner.
+ * <p>
+ * {@link HealthMonitor} contains one. It takes {@link HealthInput.EjectionWanted} and
+ * {@link HealthInput.EjectionUnwanted}, plans, voters, availabilities and
+ * {@link HealthInput.Received} with promise replies and ejection queries.
+ * <p>
+ * Thread safety: none; one thread owns an instance. Invariants: a permit is held only
+ * while promises of more than half of the greatest number of daemons of its domain are in
+ * force, each counted from the time its request was sent; a promise is given back only
+ * when no daemon can still follow advice that rests on it.
+ */
+public final class EjectionPermits implements Component<HealthInput, HealthEffect> {
+
+	/** Time in milliseconds after which the next permit is tried. */
+	private static final long ATTEMPT = 300;
+
+	/** Time in milliseconds before a refused ejection is asked for again. */
+	private static final long RETRY = 500;
+
+	/** Owners that compete for permits retry at times that differ by up to this. */
+	private static final int RETRY_SPREAD = 400;
+
+	/** Time in milliseconds between notices that there are ejections. */
+	private static final long NOTICE = 2_000;
+
+	private final DaemonId self;
+
+	private final Region region;
+
+	private final ServiceName service;
+
+	private final ServiceViews views = new ServiceViews();
+
+	private final Map<BackendServerId, Ejection> ejections = new LinkedHashMap<>();
+
+	private Map<FailureDomain, List<DaemonId>> voters = Map.of();
+
+	private long sequence;
+
+	private long nextNotice;
+
+	/**
+	 * Creates an instance without permits.
+	 * @param self this daemon
+	 * @param region the region whose permits are tried first
+	 * @param plan the service
+	 */
+	public EjectionPermits(DaemonId self, Region region, ServicePlan plan) {
+		this.self = self;
+		this.region = region;
+		this.service = plan.service();
+		this.views.handle(new HealthInput.PlanChanged(plan));
+	}
+
+	@Override
+	public List<HealthEffect> handle(long now, HealthInput input) {
+		List<HealthEffect> effects = new ArrayList<>();
+		switch (input) {
+			case HealthInput.EjectionWanted wanted -> want(now, wanted, effects);
+			case HealthInput.EjectionUnwanted(BackendServerId server) -> {
+				Ejection ejection = this.ejections.get(server);
+				if (ejection != null) {
+					ejection.wanted = false;
+				}
+			}
+			case HealthInput.VotersChanged changed -> this.voters = changed.voters();
+			case HealthInput.Received(DaemonId sender, HealthMessage.PromiseReply reply) ->
+				reply(now, sender, reply, effects);
+			case HealthInput.Received(DaemonId sender, HealthMessage.EjectionQuery query) ->
+				effects.add(new HealthEffect.Send(sender, advice(now, query)));
+			default -> this.views.handle(input);
+		}
+		effects.addAll(tick(now));
+		return effects;
+	}
+
+	@Override
+	public List<HealthEffect> tick(long now) {
+		List<HealthEffect> effects = new ArrayList<>();
+		for (Ejection ejection : List.copyOf(this.ejections.values())) {
+			advance(now, ejection, effects);
+		}
+		boolean held = this.ejections.values().stream().anyMatch((ejection) -> ejection.wanted && ejection.held);
+		if (held && now >= this.nextNotice) {
+			notice(now, effects);
+		}
+		return effects;
+	}
+
+	@Override
+	public long nextTick() {
+		long next = NO_TIMER;
+		for (Ejection ejection : this.ejections.values()) {
+			next = Math.min(next, ejection.nextTick());
+			if (ejection.wanted && ejection.held) {
+				next = Math.min(next, this.nextNotice);
+			}
+		}
+		return next;
+	}
+
+	/**
+	 * Returns whether the permit for a server is held.
+	 * @param now the time
+	 * @param server the server
+	 * @return whether it is wanted and held
+	 */
+	public boolean holds(long now, BackendServerId server) {
+		Ejection ejection = this.ejections.get(server);
+		return ejection != null && ejection.wanted && ejection.attempt != null && now < ejection.attempt.heldUntil();
+	}
+
+	private void want(long now, HealthInput.EjectionWanted wanted, List<HealthEffect> effects) {
+		Ejection ejection = this.ejections.computeIfAbsent(wanted.server(), Ejection::new);
+		boolean described = ejection.wanted && ejection.trial != wanted.trial();
+		ejection.strength = wanted.strength();
+		ejection.trial = wanted.trial();
+		ejection.evidence = wanted.evidence();
+		ejection.wanted = true;
+		if (described && ejection.held) {
+			notice(now, effects);
+		}
+	}
+
+	private void reply(long now, DaemonId sender, HealthMessage.PromiseReply reply, List<HealthEffect> effects) {
+		Ejection ejection = this.ejections.get(reply.server());
+		if (ejection == null || ejection.attempt == null || ejection.attempt.permit() != reply.permit()) {
+			return;
+		}
+		ejection.attempt.reply(sender, reply.sequence(), reply.refusal());
+		if (!ejection.held && ejection.wanted && now < ejection.attempt.heldUntil()) {
+			ejection.held = true;
+			ejection.nextRenewal = ejection.attempt.sentAt() + Leases.RENEWAL;
+			ejection.reasons.clear();
+			effects.add(new HealthEffect.PermitObtained(reply.server(), reply.permit()));
+			notice(now, effects);
+		}
+	}
+
+	private void advance(long now, Ejection ejection, List<HealthEffect> effects) {
+		PermitAttempt attempt = ejection.attempt;
+		if (ejection.held && attempt != null && now >= attempt.heldUntil()) {
+			int permit = attempt.permit();
+			ejection.held = false;
+			ejection.attempt = null;
+			ejection.nextAttempt = now;
+			attempt = null;
+			effects.add(new HealthEffect.PermitLost(ejection.server, permit));
+		}
+		if (!ejection.wanted) {
+			retire(now, ejection, effects);
+		}
+		else if (attempt == null) {
+			if (now >= ejection.nextAttempt) {
+				startNext(now, ejection, effects);
+			}
+		}
+		else if (ejection.held) {
+			renew(now, ejection, attempt, effects);
+		}
+		else if (now >= attempt.sentAt() + ATTEMPT || attempt.hopeless()) {
+			giveUp(now, ejection, effects);
+			startNext(now, ejection, effects);
+		}
+	}
+
+	private void renew(long now, Ejection ejection, PermitAttempt attempt, List<HealthEffect> effects) {
+		if (now < ejection.nextRenewal) {
+			return;
+		}
+		if (spare() > attempt.permit() && attempt.domain().equals(plan().domain(attempt.permit()))) {
+			ask(now, ejection, effects);
+		}
+		ejection.nextRenewal = now + Leases.RENEWAL;
+	}
+
+	private void retire(long now, Ejection ejection, List<HealthEffect> effects) {
+		// Until then a daemon can still follow advice about it.
+		if (now >= ejection.advisedUntil) {
+			giveUp(now, ejection, effects);
+			this.ejections.remove(ejection.server);
+		}
+	}
+
+	private void giveUp(long now, Ejection ejection, List<HealthEffect> effects) {
+		PermitAttempt attempt = ejection.attempt;
+		if (attempt == null) {
+			return;
+		}
+		ejection.reasons.put(attempt.permit(), attempt.reasons());
+		ejection.attempt = null;
+		ejection.held = false;
+		// Another server must not get the permit while advice about this one may be
+		// followed; the promises then end by themselves.
+		if (now >= ejection.advisedUntil) {
+			this.sequence++;
+			HealthMessage release = new HealthMessage.PromiseRelease(this.service, attempt.permit(), ejection.server,
+					this.sequence);
+			attempt.asked().forEach((voter) -> effects.add(new HealthEffect.Send(voter, release)));
+		}
+	}
+
+	private void startNext(long now, Ejection ejection, List<HealthEffect> effects) {
+		for (int permit : candidates()) {
+			if (!ejection.reasons.containsKey(permit) && !inUse(permit)) {
+				ejection.attempt = new PermitAttempt(permit, plan().domain(permit));
+				ask(now, ejection, effects);
+				return;
+			}
+		}
+		String reasons = ejection.reasons.isEmpty() ? "no permit is left above the floor"
+				: ejection.reasons.entrySet()
+					.stream()
+					.map((entry) -> "permit " + entry.getKey() + ": " + entry.getValue())
+					.collect(Collectors.joining("; "));
+		effects.add(new HealthEffect.PermitDenied(ejection.server, reasons));
+		ejection.reasons.clear();
+		int spread = Math.floorMod(31 * this.self.hashCode() + ejection.server.hashCode(), RETRY_SPREAD);
+		ejection.nextAttempt = now + RETRY + spread;
+	}
+
+	private void ask(long now, Ejection ejection, List<HealthEffect> effects) {
+		this.sequence++;
+		PermitAttempt attempt = ejection.attempt;
+		if (attempt == null) {
+			return;
+		}
+		List<DaemonId> asked = voters(attempt.permit());
+		attempt.ask(now, this.sequence, asked);
+		HealthMessage request = new HealthMessage.PromiseRequest(this.service, attempt.permit(), ejection.server,
+				this.sequence, ejection.evidence);
+		asked.forEach((voter) -> effects.add(new HealthEffect.Send(voter, request)));
+	}
+
+	/**
+	 * Returns the permits that can be had by this daemon's view, own region first.
+	 * @return the numbers of the permits
+	 */
+	private List<Integer> candidates() {
+		ServicePlan plan = plan();
+		return IntStream.range(0, spare())
+			.filter((permit) -> voters(permit).size() >= plan.domain(permit).majority())
+			.boxed()
+			.sorted(Comparator.comparing((permit) -> !plan.domain(permit).name().region().equals(this.region)))
+			.toList();
+	}
+
+	/**
+	 * Returns the permits that servers out of service for other reasons leave.
+	 * @return their number
+	 */
+	private int spare() {
+		return plan().permits() - this.views.unavailable(plan());
+	}
+
+	private boolean inUse(int permit) {
+		return this.ejections.values()
+			.stream()
+			.anyMatch((other) -> other.attempt != null && other.attempt.permit() == permit);
+	}
+
+	private List<DaemonId> voters(int permit) {
+		ServicePlan plan = plan();
+		return plan.domains().isEmpty() ? List.of() : this.voters.getOrDefault(plan.domain(permit).name(), List.of());
+	}
+
+	private HealthMessage advice(long now, HealthMessage.EjectionQuery query) {
+		List<HealthMessage.AdvisedEjection> advised = new ArrayList<>();
+		for (Ejection ejection : this.ejections.values()) {
+			PermitAttempt attempt = ejection.attempt;
+			if (attempt != null && ejection.wanted && ejection.held && now < attempt.heldUntil()) {
+				ejection.advisedUntil = Math.max(ejection.advisedUntil, attempt.heldUntil());
+				advised.add(new HealthMessage.AdvisedEjection(ejection.server, attempt.permit(),
+						attempt.heldUntil() - now, ejection.strength, ejection.trial, ejection.evidence));
+			}
+		}
+		return new HealthMessage.EjectionAdvice(this.service, query.sequence(), advised);
+	}
+
+	private void notice(long now, List<HealthEffect> effects) {
+		this.nextNotice = now + NOTICE;
+		effects.add(new HealthEffect.Broadcast(new HealthMessage.EjectionNotice(this.service)));
+	}
+
+	private ServicePlan plan() {
+		ServicePlan plan = this.views.plan(this.service);
+		if (plan == null) {
+			throw new IllegalStateException("The owner of " + this.service + " has no plan of it");
+		}
+		return plan;
+	}
+
+	/** One server that is ejected, shall be, or was a short time ago. */
+	private static final class Ejection {
+
+		private final BackendServerId server;
+
+		private final Map<Integer, String> reasons = new TreeMap<>();
+
+		private @Nullable PermitAttempt attempt;
+
+		private boolean wanted;
+
+		private boolean held;
+
+		private boolean trial;
+
+		private double strength;
+
+		private String evidence = "";
+
+		private long nextAttempt = Long.MIN_VALUE;
+
+		private long nextRenewal = Long.MIN_VALUE;
+
+		private long advisedUntil = Long.MIN_VALUE;
+
+		private Ejection(BackendServerId server) {
+			this.server = server;
+		}
+
+		private long nextTick() {
+			if (!this.wanted) {
+				return this.advisedUntil;
+			}
+			if (this.attempt == null) {
+				return this.nextAttempt;
+			}
+			return this.held ? Math.min(this.nextRenewal, this.attempt.heldUntil()) : this.attempt.sentAt() + ATTEMPT;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/Explanation.java
@@ -0,0 +1,50 @@
+package org.wigeonmast.health;
+
+import java.util.List;
+import java.util.Map;
+
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.DaemonId;
+
+/**
+ * Why a backend server is in its state, as one daemon sees it.
+ * <p>
+ * Thread safety: immutable. Invariant: {@link #text()} fits on one screen.
+ *
+ * @param server the backend server
+ * @param viewpoint the daemon that explains
+ * @param facts named values, in a stable order
+ * @param history the latest decisions about it, oldest first
+ */
+public record Explanation(BackendServerId server, DaemonId viewpoint, Map<String, String> facts,
+		List<AuditEntry> history) {
+
+	private static final int LINES = 24;
+
+	/**
+	 * Returns the explanation for an operator.
+	 * @return at most 24 lines
+	 */
+	public String text() {
+		StringBuilder text = new StringBuilder();
+		text.append(this.server).append(" as seen by ").append(this.viewpoint);
+		int lines = 1;
+		for (Map.Entry<String, String> fact : this.facts.entrySet()) {
+			text.append("\n  ").append(fact.getKey()).append(": ").append(fact.getValue());
+			lines++;
+		}
+		int room = Math.max(0, LINES - lines);
+		List<AuditEntry> latest = this.history.subList(Math.max(0, this.history.size() - room), this.history.size());
+		for (AuditEntry entry : latest) {
+			text.append("\n  ")
+				.append(entry.time())
+				.append(" ms ")
+				.append(entry.kind())
+				.append(' ')
+				.append(entry.evidence());
+		}
+		return text.toString();
+	}
+
+}
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthEffect.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthEffect.java
@@ -60,7 +60,45 @@
 	}
 
 	/**
-	 * Send one probe to a backend server and report it as an {@link Observation}.
+	 * A permit was obtained; the server counts as ejected until the permit is lost or no
+	 * longer wanted.
+	 *
+	 * @param server the backend server
+	 * @param permit the number of the permit
+	 */
+	record PermitObtained(BackendServerId server, int permit) implements HealthEffect {
+	}
+
+	/**
+	 * No permit could be obtained; the request is repeated.
+	 *
+	 * @param server the backend server
+	 * @param reasons the daemons' reasons in one line
+	 */
+	record PermitDenied(BackendServerId server, String reasons) implements HealthEffect {
+	}
+
+	/**
+	 * A permit was lost, because too few daemons renewed their promises.
+	 *
+	 * @param server the backend server
+	 * @param permit the number of the permit
+	 */
+	record PermitLost(BackendServerId server, int permit) implements HealthEffect {
+	}
+
+	/**
+	 * The ejections that this daemon follows changed.
+	 *
+	 * @param service the service
+	 * @param ejections the ejections
+	 */
+	record Followed(ServiceName service, List<FollowedEjection> ejections) implements HealthEffect {
+	}
+
+	/**
+	 * Send one probe to a backend server and report its end with
+	 * {@link HealthInput.ProbeEnded}.
 	 *
 	 * @param server the backend server
 	 */
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthEvent.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthEvent.java
@@ -10,37 +10,33 @@
  */
 public enum HealthEvent implements EventDefinition {
 
-	/** A backend server is avoided. */
-	SERVER_AVOIDED(400, Level.INFO, "{} is avoided: {}",
-			"Nothing; it is ejected as soon as a permit is obtained, or returns by itself."),
-
 	/** A backend server was ejected. */
-	SERVER_EJECTED(401, Level.WARN, "{} was ejected: {}",
+	SERVER_EJECTED(400, Level.WARN, "{} was ejected: {}",
 			"Look at the host; run `wigeonmast explain HOST` for the evidence."),
 
 	/** No permit was obtained for an ejection. */
-	EJECTION_DENIED(402, Level.WARN, "{} was not ejected: {}",
+	EJECTION_DENIED(401, Level.WARN, "{} was not ejected: {}",
 			"Look at the host; if the floor is the reason, look at all backend servers of the service."),
 
 	/** A backend server is tried again. */
-	SERVER_ON_TRIAL(403, Level.INFO, "{} gets a few idempotent requests: {}", "Nothing."),
+	SERVER_ON_TRIAL(402, Level.INFO, "{} gets a few idempotent requests: {}", "Nothing."),
 
 	/** A backend server returned to service. */
-	SERVER_RETURNED(404, Level.INFO, "{} returned to service: {}", "Nothing."),
+	SERVER_RETURNED(403, Level.INFO, "{} returned to service: {}", "Nothing."),
 
 	/** An ejection ended because its permit was lost. */
-	PERMIT_LOST(405, Level.WARN, "The permit for {} was lost: {}",
+	PERMIT_LOST(404, Level.WARN, "The permit for {} was lost: {}",
 			"Nothing; it is requested again. If it repeats, look at the links between daemons."),
 
 	/** An ejection is ignored so that the floor holds. */
-	FLOOR_GUARD(406, Level.WARN, "The ejection of {} is ignored: {}",
+	FLOOR_GUARD(405, Level.WARN, "The ejection of {} is ignored: {}",
 			"Look at the backend servers of the service; too few of them are in service."),
 
 	/** A backend server leaves. */
-	SERVER_LEAVING(407, Level.INFO, "{} is leaving: {}", "Nothing."),
+	SERVER_LEAVING(406, Level.INFO, "{} is leaving: {}", "Nothing."),
 
 	/** This daemon avoids a backend server that others reach. */
-	PATH_AVOIDED(408, Level.WARN, "{} is avoided by this daemon only: {}",
+	PATH_AVOIDED(407, Level.WARN, "{} is avoided by this daemon only: {}",
 			"Look at the network between this host and the backend server.");
 
 	private final int number;
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthInput.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthInput.java
@@ -6,6 +6,7 @@
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.ServiceName;
 import org.wigeonmast.manifest.WorkClass;
 
 /**
@@ -74,6 +75,15 @@
 	record EndpointRead(BackendServerId server, boolean healthy) implements HealthInput {
 	}
 
+	/**
+	 * A probe that was asked for ended.
+	 *
+	 * @param server the backend server
+	 * @param answered whether the server answered it without an error
+	 */
+	record ProbeEnded(BackendServerId server, boolean answered) implements HealthInput {
+	}
+
 	/**
 	 * A manifest was applied.
 	 *
@@ -82,6 +92,34 @@
 	record PlanChanged(ServicePlan plan) implements HealthInput {
 	}
 
+	/**
+	 * A manifest without a service was applied.
+	 *
+	 * @param service the service
+	 */
+	record ServiceRemoved(ServiceName service) implements HealthInput {
+	}
+
+	/**
+	 * An unhealthy backend server shall be ejected, or its ejection described anew.
+	 *
+	 * @param server the backend server
+	 * @param strength the strength of the evidence
+	 * @param trial whether a few idempotent requests may be sent to it
+	 * @param evidence why, in one line
+	 */
+	record EjectionWanted(BackendServerId server, double strength, boolean trial,
+			String evidence) implements HealthInput {
+	}
+
+	/**
+	 * A backend server shall no longer be ejected.
+	 *
+	 * @param server the backend server
+	 */
+	record EjectionUnwanted(BackendServerId server) implements HealthInput {
+	}
+
 	/**
 	 * The live daemons changed.
 	 *
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthMessage.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthMessage.java
@@ -40,12 +40,21 @@
 	 * @param permit the permit
 	 * @param server the backend server asked for
 	 * @param sequence the number of the request
-	 * @param given whether the permit is promised to that server for one lease
-	 * @param refusal the reason if it is not given
+	 * @param refusal {@link Refusal#NONE} if the permit is promised to that server for
+	 * one lease, otherwise the reason
 	 * @param holder the backend server to which the permit is promised, if any
 	 */
-	record PromiseReply(ServiceName service, int permit, BackendServerId server, long sequence, boolean given,
-			Refusal refusal, @Nullable BackendServerId holder) implements HealthMessage {
+	record PromiseReply(ServiceName service, int permit, BackendServerId server, long sequence, Refusal refusal,
+			@Nullable BackendServerId holder) implements HealthMessage {
+
+		/**
+		 * Returns whether the promise is given.
+		 * @return whether it is given
+		 */
+		public boolean given() {
+			return this.refusal == Refusal.NONE;
+		}
+
 	}
 
 	/**
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthMonitor.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthMonitor.java
@@ -5,14 +5,16 @@
 import java.util.List;
 import java.util.Map;
 
-import org.wigeonmast.core.AuditEntry;
+import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.AuditKind;
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.Component;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.Region;
-import org.wigeonmast.core.Step;
+import org.wigeonmast.health.ServerHealth.State;
+import org.wigeonmast.health.internal.AuditEntries;
 import org.wigeonmast.health.internal.Detector;
+import org.wigeonmast.health.internal.ServerJudgement;
 import org.wigeonmast.health.internal.Suspicion;
 
 /**
@@ -37,19 +39,26 @@
 
 	private static final long PERIOD = 100;
 
-	/** Weight of a server that is only the last choice. */
-	private static final double LAST_CHOICE = 0.05;
-
-	/** Share of the threshold below which an avoided server is in service again. */
+	/** Share of the threshold below which a server is not suspected any more. */
 	private static final double CLEARED = 0.25;
 
+	/** Time in milliseconds without work after which a server on trial is probed. */
+	private static final long PROBE = 3_000;
+
+	/** Time in milliseconds between reports of denied ejections of one server. */
+	private static final long DENIAL_REPORT = 10_000;
+
 	private final DaemonId self;
 
 	private final Region region;
 
+	private final AuditEntries audit;
+
 	private final Detector detector = new Detector();
 
-	private final Map<BackendServerId, Judgement> judgements = new LinkedHashMap<>();
+	private final EjectionPermits permits;
+
+	private final Map<BackendServerId, ServerJudgement> judgements = new LinkedHashMap<>();
 
 	private ServicePlan plan;
 
@@ -66,22 +75,38 @@
 	public HealthMonitor(DaemonId self, Region region, ServicePlan plan) {
 		this.self = self;
 		this.region = region;
+		this.audit = new AuditEntries(self);
+		this.permits = new EjectionPermits(self, region, plan);
 		this.plan = plan;
-		apply(plan);
+		regionalServers(plan).forEach((server, slots) -> {
+			this.judgements.put(server, new ServerJudgement(server));
+			this.detector.add(server, slots);
+		});
 	}
 
 	@Override
 	public List<HealthEffect> handle(long now, HealthInput input) {
 		List<HealthEffect> effects = new ArrayList<>();
 		switch (input) {
-			case HealthInput.Observed observed -> this.detector.observe(now - observed.age(), observed.observation());
+			case HealthInput.Observed(Observation observation, long age) -> observe(now, observation, age);
 			case HealthInput.InFlight report -> this.detector.inFlight(now, report);
-			case HealthInput.AvailabilityChanged changed -> change(now, changed, effects);
-			case HealthInput.EndpointRead read -> this.detector.endpoint(read.server(), read.healthy());
-			case HealthInput.PlanChanged changed -> apply(changed.plan());
-			case HealthInput.VotersChanged changed -> {
+			case HealthInput.EndpointRead(BackendServerId server, boolean healthy) ->
+				this.detector.endpoint(server, healthy);
+			case HealthInput.ProbeEnded(BackendServerId server, boolean answered) ->
+				probed(now, server, answered, effects);
+			case HealthInput.AvailabilityChanged changed -> {
+				change(now, changed, effects);
+				permit(now, changed, effects);
 			}
-			case HealthInput.Received received -> {
+			case HealthInput.PlanChanged changed -> {
+				apply(now, changed.plan(), effects);
+				permit(now, changed, effects);
+			}
+			case HealthInput.VotersChanged changed -> permit(now, changed, effects);
+			case HealthInput.Received received -> permit(now, received, effects);
+			case HealthInput.ServiceRemoved _, HealthInput.EjectionWanted _, HealthInput.EjectionUnwanted _ -> {
+				// The monitor is dropped with its service and decides about ejections
+				// itself.
 			}
 		}
 		return effects;
@@ -90,108 +115,290 @@
 	@Override
 	public List<HealthEffect> tick(long now) {
 		List<HealthEffect> effects = new ArrayList<>();
+		follow(now, this.permits.tick(now), effects);
 		if (now < this.nextTick) {
 			return effects;
 		}
 		this.nextTick = now + PERIOD;
 		this.detector.advance(now);
-		this.judgements.forEach((server, judgement) -> judge(now, server, judgement, effects));
-		List<ServerHealth> current = servers();
-		if (!current.equals(this.judged)) {
-			this.judged = current;
-			effects.add(new HealthEffect.Judged(this.plan.service(), current));
+		for (ServerJudgement judgement : this.judgements.values()) {
+			judge(now, judgement, effects);
 		}
+		publish(now, effects);
 		return effects;
 	}
 
 	@Override
 	public long nextTick() {
-		return this.nextTick;
+		return Math.min(this.nextTick, this.permits.nextTick());
 	}
 
 	/**
 	 * Returns the judgement about each backend server of the region.
+	 * @param now the time
 	 * @return the judgements in the order of the manifest
 	 */
-	public List<ServerHealth> servers() {
+	public List<ServerHealth> servers(long now) {
 		List<ServerHealth> servers = new ArrayList<>();
-		this.judgements
-			.forEach((server, judgement) -> servers.add(new ServerHealth(server, judgement.state, judgement.weight)));
+		this.judgements.values().forEach((judgement) -> servers.add(judgement.health(now)));
 		return servers;
 	}
 
-	private void apply(ServicePlan changed) {
-		this.plan = changed;
-		Map<BackendServerId, Integer> slots = new LinkedHashMap<>();
-		for (ServicePlan.Server server : changed.servers()) {
-			if (server.region().equals(this.region)) {
-				slots.put(server.id(), server.slots());
+	/**
+	 * Explains the state of a backend server.
+	 * @param now the time
+	 * @param server the server
+	 * @return the explanation, or {@code null} if the region has no such server
+	 */
+	public @Nullable Explanation explain(long now, BackendServerId server) {
+		ServerJudgement judgement = this.judgements.get(server);
+		if (judgement == null) {
+			return null;
+		}
+		Map<String, String> facts = judgement.facts(now);
+		facts.put("evidence now", this.detector.suspicion(server).summary());
+		return new Explanation(server, this.self, facts, judgement.history());
+	}
+
+	private void observe(long now, Observation observation, long age) {
+		ServerJudgement judgement = this.judgements.get(observation.server());
+		if (judgement == null || judgement.state() == State.LEAVING || judgement.state() == State.DEAD) {
+			return;
+		}
+		if (judgement.state() == State.TRIAL && observation.result() != Observation.Result.SHED) {
+			judgement.trialAnswered(now);
+			judgement.delayProbe(now + PROBE);
+		}
+		this.detector.observe(now - age, observation);
+	}
+
+	private void judge(long now, ServerJudgement judgement, List<HealthEffect> effects) {
+		BackendServerId server = judgement.server();
+		switch (judgement.state()) {
+			case SERVING, RAMPING -> {
+				Suspicion suspicion = this.detector.suspicion(server);
+				if (suspicion.strength() >= judgement.threshold()) {
+					suspect(now, judgement, suspicion, effects);
+				}
+				else if (judgement.state() == State.RAMPING && judgement.over(now)) {
+					judgement.enter(now, State.SERVING);
+					this.detector.use(server, true, true);
+				}
+			}
+			case AVOIDED -> {
+				if (this.detector.suspicion(server).strength() < CLEARED * Detector.THRESHOLD || judgement.over(now)) {
+					giveBack(now, judgement, effects);
+				}
+			}
+			case EJECTED -> {
+				if (judgement.over(now)) {
+					tryAgain(now, judgement, effects);
+				}
+			}
+			case TRIAL -> judgeTrial(now, judgement, effects);
+			case LEAVING, DEAD -> {
+			}
+		}
+	}
+
+	private void suspect(long now, ServerJudgement judgement, Suspicion suspicion, List<HealthEffect> effects) {
+		judgement.suspect(now, suspicion);
+		this.detector.use(judgement.server(), false, true);
+		permit(now,
+				new HealthInput.EjectionWanted(judgement.server(), suspicion.strength(), false, suspicion.summary()),
+				effects);
+	}
+
+	private void tryAgain(long now, ServerJudgement judgement, List<HealthEffect> effects) {
+		judgement.tryAgain(now, PROBE);
+		this.detector.clear(judgement.server());
+		Suspicion suspicion = judgement.suspicion();
+		permit(now, new HealthInput.EjectionWanted(judgement.server(), suspicion.strength(), true, suspicion.summary()),
+				effects);
+		record(now, HealthEvent.SERVER_ON_TRIAL, AuditKind.RETURNED, judgement,
+				AuditEntries.values("state", State.TRIAL, "ejections in a row", judgement.ejections()), effects);
+	}
+
+	private void judgeTrial(long now, ServerJudgement judgement, List<HealthEffect> effects) {
+		Suspicion suspicion = this.detector.suspicion(judgement.server());
+		if (suspicion.strength() >= CLEARED * Detector.THRESHOLD) {
+			suspect(now, judgement, suspicion, effects);
+			judgement.enter(now, State.EJECTED);
+			record(now, HealthEvent.SERVER_EJECTED, AuditKind.EJECTED, judgement, ejectionEvidence(judgement), effects);
+		}
+		else if (judgement.trialPassed(now)) {
+			giveBack(now, judgement, effects);
+		}
+		else if (judgement.probeDue(now, PROBE)) {
+			effects.add(new HealthEffect.Probe(judgement.server()));
+		}
+	}
+
+	private void probed(long now, BackendServerId server, boolean answered, List<HealthEffect> effects) {
+		ServerJudgement judgement = this.judgements.get(server);
+		if (judgement == null || judgement.state() != State.TRIAL) {
+			return;
+		}
+		if (answered) {
+			judgement.trialAnswered(now);
+		}
+		else {
+			judgement.suspect(now, judgement.suspicion());
+			judgement.enter(now, State.EJECTED);
+			record(now, HealthEvent.SERVER_EJECTED, AuditKind.EJECTED, judgement,
+					AuditEntries.values("kind", "failed probe", "ejections in a row", judgement.ejections()), effects);
+		}
+	}
+
+	private void giveBack(long now, ServerJudgement judgement, List<HealthEffect> effects) {
+		record(now, HealthEvent.SERVER_RETURNED, AuditKind.RETURNED, judgement,
+				AuditEntries.values("from", judgement.state(), "ejections in a row", judgement.ejections()), effects);
+		judgement.ramp(now, false);
+		judgement.permit(null);
+		this.detector.clear(judgement.server());
+		this.detector.use(judgement.server(), false, true);
+		permit(now, new HealthInput.EjectionUnwanted(judgement.server()), effects);
+	}
+
+	private void permit(long now, HealthInput input, List<HealthEffect> effects) {
+		follow(now, this.permits.handle(now, input), effects);
+	}
+
+	private void follow(long now, List<HealthEffect> decided, List<HealthEffect> effects) {
+		for (HealthEffect effect : decided) {
+			switch (effect) {
+				case HealthEffect.PermitObtained(BackendServerId server, int permit) ->
+					obtained(now, this.judgements.get(server), permit, effects);
+				case HealthEffect.PermitDenied(BackendServerId server, String reasons) ->
+					denied(now, this.judgements.get(server), reasons, effects);
+				case HealthEffect.PermitLost(BackendServerId server, int permit) ->
+					lost(now, this.judgements.get(server), permit, effects);
+				default -> effects.add(effect);
 			}
 		}
+	}
+
+	private void obtained(long now, @Nullable ServerJudgement judgement, int permit, List<HealthEffect> effects) {
+		if (judgement != null && judgement.state() == State.AVOIDED) {
+			judgement.permit(permit);
+			judgement.enter(now, State.EJECTED);
+			record(now, HealthEvent.SERVER_EJECTED, AuditKind.EJECTED, judgement, ejectionEvidence(judgement), effects);
+			publish(now, effects);
+		}
+	}
+
+	private void denied(long now, @Nullable ServerJudgement judgement, String reasons, List<HealthEffect> effects) {
+		if (judgement != null && judgement.denied(now, DENIAL_REPORT)) {
+			Map<String, String> evidence = judgement.suspicion().evidence();
+			evidence.put("reasons", reasons);
+			record(now, HealthEvent.EJECTION_DENIED, AuditKind.EJECTION_DENIED, judgement, evidence, effects);
+		}
+	}
+
+	private void lost(long now, @Nullable ServerJudgement judgement, int permit, List<HealthEffect> effects) {
+		if (judgement != null && (judgement.state() == State.EJECTED || judgement.state() == State.TRIAL)) {
+			judgement.permit(null);
+			judgement.enter(now, State.AVOIDED);
+			record(now, HealthEvent.PERMIT_LOST, AuditKind.EJECTION_DENIED, judgement,
+					AuditEntries.values("permit", permit, "reason", "too few promises were renewed"), effects);
+			publish(now, effects);
+		}
+	}
+
+	private Map<String, String> ejectionEvidence(ServerJudgement judgement) {
+		Map<String, String> evidence = judgement.suspicion().evidence();
+		evidence.put("service", this.plan.service().value());
+		evidence.put("ejections in a row", Integer.toString(judgement.ejections()));
+		return evidence;
+	}
+
+	private void apply(long now, ServicePlan changed, List<HealthEffect> effects) {
+		this.plan = changed;
+		Map<BackendServerId, Integer> slots = regionalServers(changed);
 		for (BackendServerId server : List.copyOf(this.judgements.keySet())) {
 			if (!slots.containsKey(server)) {
 				this.judgements.remove(server);
 				this.detector.remove(server);
+				permit(now, new HealthInput.EjectionUnwanted(server), effects);
 			}
 		}
 		slots.forEach((server, count) -> {
-			this.judgements.computeIfAbsent(server, (added) -> new Judgement());
 			this.detector.add(server, count);
+			this.judgements.computeIfAbsent(server, (added) -> {
+				ServerJudgement judgement = new ServerJudgement(server);
+				start(now, judgement);
+				return judgement;
+			});
 		});
 	}
 
+	private Map<BackendServerId, Integer> regionalServers(ServicePlan servicePlan) {
+		Map<BackendServerId, Integer> slots = new LinkedHashMap<>();
+		for (ServicePlan.Server server : servicePlan.servers()) {
+			if (server.region().equals(this.region)) {
+				slots.put(server.id(), server.slots());
+			}
+		}
+		return slots;
+	}
+
 	private void change(long now, HealthInput.AvailabilityChanged changed, List<HealthEffect> effects) {
-		Judgement judgement = this.judgements.get(changed.server());
+		ServerJudgement judgement = this.judgements.get(changed.server());
 		if (judgement == null) {
 			return;
 		}
+		State state = judgement.state();
+		boolean out = state == State.LEAVING || state == State.DEAD;
 		switch (changed.availability()) {
 			case LEAVING -> {
-				if (judgement.state != ServerHealth.State.LEAVING) {
-					effects.add(record(now, HealthEvent.SERVER_LEAVING, AuditKind.LEAVING, changed.server(),
-							Map.of("state", judgement.state.toString())));
+				if (state != State.LEAVING) {
+					record(now, HealthEvent.SERVER_LEAVING, AuditKind.LEAVING, judgement,
+							AuditEntries.values("earlier state", state), effects);
+					leave(now, judgement, State.LEAVING, effects);
+				}
+			}
+			case DEAD -> leave(now, judgement, State.DEAD, effects);
+			case COLD -> {
+				permit(now, new HealthInput.EjectionUnwanted(changed.server()), effects);
+				start(now, judgement);
+			}
+			case AVAILABLE -> {
+				if (out) {
+					start(now, judgement);
 				}
-				enter(judgement, ServerHealth.State.LEAVING, 0);
 			}
-			case DEAD -> enter(judgement, ServerHealth.State.DEAD, 0);
-			case AVAILABLE, COLD -> enter(judgement, ServerHealth.State.SERVING, 1);
 		}
-		this.detector.use(changed.server(), judgement.state == ServerHealth.State.SERVING, true);
-		this.nextTick = now;
+		publish(now, effects);
 	}
 
-	private void judge(long now, BackendServerId server, Judgement judgement, List<HealthEffect> effects) {
-		Suspicion suspicion = this.detector.suspicion(server);
-		if (judgement.state == ServerHealth.State.SERVING && suspicion.strength() >= Detector.THRESHOLD) {
-			enter(judgement, ServerHealth.State.AVOIDED, LAST_CHOICE);
-			this.detector.use(server, false, true);
-			effects
-				.add(record(now, HealthEvent.SERVER_AVOIDED, AuditKind.EJECTION_DENIED, server, suspicion.evidence()));
-		}
-		else if (judgement.state == ServerHealth.State.AVOIDED && suspicion.strength() < CLEARED * Detector.THRESHOLD) {
-			enter(judgement, ServerHealth.State.SERVING, 1);
-			this.detector.use(server, true, true);
-			effects.add(record(now, HealthEvent.SERVER_RETURNED, AuditKind.RETURNED, server, suspicion.evidence()));
-		}
+	private void leave(long now, ServerJudgement judgement, State state, List<HealthEffect> effects) {
+		judgement.enter(now, state);
+		judgement.permit(null);
+		this.detector.clear(judgement.server());
+		this.detector.use(judgement.server(), false, false);
+		permit(now, new HealthInput.EjectionUnwanted(judgement.server()), effects);
 	}
 
-	private static void enter(Judgement judgement, ServerHealth.State state, double weight) {
-		judgement.state = state;
-		judgement.weight = weight;
+	private void start(long now, ServerJudgement judgement) {
+		// Slow work is expected of a server that has just started.
+		judgement.ramp(now, true);
+		this.detector.clear(judgement.server());
+		this.detector.use(judgement.server(), false, false);
 	}
 
-	private HealthEffect record(long now, HealthEvent event, AuditKind kind, BackendServerId server,
-			Map<String, String> evidence) {
-		return new HealthEffect.Recorded(event,
-				new AuditEntry(now, kind, server.value(), Step.HEALTH, this.self.toString(), evidence));
+	private void publish(long now, List<HealthEffect> effects) {
+		List<ServerHealth> current = servers(now);
+		if (!current.equals(this.judged)) {
+			this.judged = current;
+			effects.add(new HealthEffect.Judged(this.plan.service(), current));
+		}
 	}
 
-	private static final class Judgement {
-
-		private ServerHealth.State state = ServerHealth.State.SERVING;
-
-		private double weight = 1;
-
+	private void record(long now, HealthEvent event, AuditKind kind, ServerJudgement judgement,
+			Map<String, String> evidence, List<HealthEffect> effects) {
+		HealthEffect.Recorded recorded = this.audit.entry(now, event, kind, judgement.server(), evidence);
+		judgement.remember(recorded.entry());
+		effects.add(recorded);
 	}
 
 }
--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/ServerJudgement.java
@@ -0,0 +1,315 @@
+package org.wigeonmast.health.internal;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.health.ServerHealth;
+import org.wigeonmast.health.ServerHealth.State;
+
+/**
+ * The state of one backend server and the times of its next changes.
+ * <p>
+ * Thread safety: none. Invariant: the weight is 0 while the server is ejected, leaving or
+ * dead, and rises from {@link #FIRST_WEIGHT} to 1 while it is ramping.
+ */
+public final class ServerJudgement {
+
+	/** Weight of a server that is only the last choice, or on trial. */
+	public static final double LAST_CHOICE = 0.05;
+
+	/** Weight at the start of a ramp. */
+	public static final double FIRST_WEIGHT = 0.2;
+
+	/** Time in milliseconds for which a ramp lasts. */
+	public static final long RAMP = 10_000;
+
+	/**
+	 * Time in milliseconds for which the first ejection lasts; each further one doubles.
+	 */
+	public static final long FIRST_EJECTION = 10_000;
+
+	/** Longest ejection in milliseconds. */
+	public static final long LONGEST_EJECTION = 600_000;
+
+	/** Time in service in milliseconds after which earlier ejections are forgotten. */
+	public static final long FORGIVEN = 600_000;
+
+	/** Share of the threshold that suffices against a server that was ejected before. */
+	private static final double REPEATED = 0.7;
+
+	/** Weights are rounded to this part, so that a ramp causes few changes. */
+	private static final double WEIGHT_STEPS = 10;
+
+	private static final int HISTORY = 8;
+
+	/** Answers after which a trial is passed. */
+	private static final int TRIAL_ANSWERS = 5;
+
+	private final BackendServerId server;
+
+	private final Deque<AuditEntry> history = new ArrayDeque<>();
+
+	private State state = State.SERVING;
+
+	private long since;
+
+	private long until;
+
+	private int ejections;
+
+	private boolean cold;
+
+	private Suspicion suspicion = Suspicion.NONE;
+
+	private @Nullable Integer permit;
+
+	private long deniedAt = Long.MIN_VALUE / 2;
+
+	private int trialAnswers;
+
+	private long nextProbe;
+
+	/**
+	 * Creates the judgement of a server in service.
+	 * @param server the server
+	 */
+	public ServerJudgement(BackendServerId server) {
+		this.server = server;
+	}
+
+	/**
+	 * Changes the state.
+	 * @param now the time
+	 * @param changed the new state
+	 */
+	public void enter(long now, State changed) {
+		if (this.state == State.SERVING && now - this.since >= FORGIVEN) {
+			this.ejections = 0;
+		}
+		this.state = changed;
+		this.since = now;
+		this.cold &= changed == State.RAMPING;
+	}
+
+	/**
+	 * Starts to avoid the server and sets until when.
+	 * @param now the time
+	 * @param found the evidence
+	 */
+	public void suspect(long now, Suspicion found) {
+		enter(now, State.AVOIDED);
+		this.suspicion = found;
+		this.ejections++;
+		this.until = now + duration();
+	}
+
+	/**
+	 * Starts a ramp.
+	 * @param now the time
+	 * @param coldStart whether the server may be slow because it started
+	 */
+	public void ramp(long now, boolean coldStart) {
+		enter(now, State.RAMPING);
+		this.cold = coldStart;
+		this.until = now + RAMP;
+	}
+
+	/**
+	 * Starts a trial.
+	 * @param now the time
+	 * @param probeAfter the time after which a probe is sent if no work arrives
+	 */
+	public void tryAgain(long now, long probeAfter) {
+		enter(now, State.TRIAL);
+		this.trialAnswers = 0;
+		this.nextProbe = now + probeAfter;
+	}
+
+	private long duration() {
+		int doublings = Math.min(Math.max(0, this.ejections - 1), 10);
+		return Math.min(LONGEST_EJECTION, FIRST_EJECTION << doublings);
+	}
+
+	/**
+	 * Returns the strength of evidence from which the server is unhealthy.
+	 * @return the threshold
+	 */
+	public double threshold() {
+		return (this.ejections > 0) ? REPEATED * Detector.THRESHOLD : Detector.THRESHOLD;
+	}
+
+	/**
+	 * Returns the judgement for dispatch.
+	 * @param now the time
+	 * @return the judgement
+	 */
+	public ServerHealth health(long now) {
+		double weight = switch (this.state) {
+			case SERVING -> 1;
+			case AVOIDED, TRIAL -> LAST_CHOICE;
+			case RAMPING -> rampWeight(now);
+			case EJECTED, LEAVING, DEAD -> 0;
+		};
+		return new ServerHealth(this.server, this.state, weight);
+	}
+
+	private double rampWeight(long now) {
+		double share = Math.min(1, (double) (now - this.since) / RAMP);
+		double weight = FIRST_WEIGHT + (1 - FIRST_WEIGHT) * share;
+		return Math.round(weight * WEIGHT_STEPS) / WEIGHT_STEPS;
+	}
+
+	/**
+	 * Adds an entry to the history, which keeps the latest ones.
+	 * @param entry the entry
+	 */
+	public void remember(AuditEntry entry) {
+		if (this.history.size() == HISTORY) {
+			this.history.removeFirst();
+		}
+		this.history.addLast(entry);
+	}
+
+	/**
+	 * Returns what led to the state.
+	 * @param now the time
+	 * @return named values, in a stable order
+	 */
+	public Map<String, String> facts(long now) {
+		Map<String, String> facts = AuditEntries.values("state", this.state, "for", (now - this.since) + " ms");
+		if (this.state == State.EJECTED || this.state == State.AVOIDED || this.state == State.TRIAL) {
+			facts.put("evidence", this.suspicion.summary());
+			facts.put("permit", (this.permit != null) ? this.permit.toString() : "none");
+			facts.put("ejections in a row", Integer.toString(this.ejections));
+			facts.put("tried again in", Math.max(0, this.until - now) + " ms");
+		}
+		return facts;
+	}
+
+	/**
+	 * Returns the server.
+	 * @return the server
+	 */
+	public BackendServerId server() {
+		return this.server;
+	}
+
+	/**
+	 * Returns the state.
+	 * @return the state
+	 */
+	public State state() {
+		return this.state;
+	}
+
+	/**
+	 * Returns whether the ejection, the avoidance or the ramp is over.
+	 * @param now the time
+	 * @return whether its time is over
+	 */
+	public boolean over(long now) {
+		return now >= this.until;
+	}
+
+	/**
+	 * Returns whether a cold start excuses slow work.
+	 * @return whether it does
+	 */
+	public boolean cold() {
+		return this.cold;
+	}
+
+	/**
+	 * Returns the evidence for the latest ejection.
+	 * @return the evidence
+	 */
+	public Suspicion suspicion() {
+		return this.suspicion;
+	}
+
+	/**
+	 * Returns the number of ejections that follow each other closely.
+	 * @return the number
+	 */
+	public int ejections() {
+		return this.ejections;
+	}
+
+	/**
+	 * Sets the permit.
+	 * @param permit the permit, or {@code null} for none
+	 */
+	public void permit(@Nullable Integer permit) {
+		this.permit = permit;
+	}
+
+	/**
+	 * Records a denied ejection.
+	 * @param now the time
+	 * @param pause the time in milliseconds for which further denials are not reported
+	 * @return whether to report this one
+	 */
+	public boolean denied(long now, long pause) {
+		boolean report = now - this.deniedAt >= pause;
+		if (report) {
+			this.deniedAt = now;
+		}
+		return report;
+	}
+
+	/**
+	 * Counts an answer during a trial.
+	 * @param now the time
+	 */
+	public void trialAnswered(long now) {
+		this.trialAnswers++;
+		if (this.trialAnswers == TRIAL_ANSWERS) {
+			this.until = now + 2 * Detector.REORDERING;
+		}
+	}
+
+	/**
+	 * Returns whether a trial has had enough answers and all of them were counted.
+	 * @param now the time
+	 * @return whether it is passed
+	 */
+	public boolean trialPassed(long now) {
+		return this.trialAnswers >= TRIAL_ANSWERS && now >= this.until;
+	}
+
+	/**
+	 * Delays the next probe.
+	 * @param time the earliest time for it
+	 */
+	public void delayProbe(long time) {
+		this.nextProbe = time;
+	}
+
+	/**
+	 * Returns whether a probe is due, and plans the next one.
+	 * @param now the time
+	 * @param period the time between probes in milliseconds
+	 * @return whether to send one
+	 */
+	public boolean probeDue(long now, long period) {
+		boolean due = now >= this.nextProbe;
+		if (due) {
+			this.nextProbe = now + period;
+		}
+		return due;
+	}
+
+	/**
+	 * Returns the latest audit entries.
+	 * @return the entries, oldest first
+	 */
+	public List<AuditEntry> history() {
+		return List.copyOf(this.history);
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-health/src/test/java/org/wigeonmast/health/EjectionPermitsTests.java
@@ -0,0 +1,50 @@
+package org.wigeonmast.health;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class EjectionPermitsTests {
+
+	private static final int SPARE = PermitSimulation.SERVERS - PermitSimulation.FLOOR;
+
+	private static final long TIME = 40_000;
+
+	private static final int SEEDS = 400;
+
+	/** Guards against ejections that together bring a service below its floor. */
+	@Property(tries = 400, seed = "7311")
+	void floorHoldsOverAllDaemons(@ForAll long seed) {
+		PermitSimulation simulation = new PermitSimulation(seed, PermitSimulation.Fault.NONE);
+		assertThat(simulation.run(TIME)).isAtMost(SPARE);
+		assertThat(simulation.viewBelowFloor()).isFalse();
+	}
+
+	/** Guards against a property that holds because nothing is ever ejected. */
+	@Test
+	void allPermitsAreUsed() {
+		int reached = 0;
+		for (long seed = 0; seed < 20; seed++) {
+			reached += (new PermitSimulation(seed, PermitSimulation.Fault.NONE).run(TIME) == SPARE) ? 1 : 0;
+		}
+		assertThat(reached).isAtLeast(15);
+	}
+
+	/** Guards against a simulation that would not notice a broken rule. */
+	@ParameterizedTest
+	@EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+	void brokenRuleIsNoticed(PermitSimulation.Fault fault) {
+		boolean noticed = false;
+		for (long seed = 0; seed < SEEDS && !noticed; seed++) {
+			PermitSimulation simulation = new PermitSimulation(seed, fault);
+			noticed = simulation.run(TIME) > SPARE;
+			assertThat(simulation.viewBelowFloor()).isFalse();
+		}
+		assertThat(noticed).isTrue();
+	}
+
+}
--- a/wigeonmast-health/src/test/java/org/wigeonmast/health/HealthMonitorTests.java
+++ b/wigeonmast-health/src/test/java/org/wigeonmast/health/HealthMonitorTests.java
@@ -89,7 +89,7 @@
 	}
 
 	private List<String> avoided() {
-		return this.monitor.servers()
+		return this.monitor.servers(this.now)
 			.stream()
 			.filter((server) -> server.state() == ServerHealth.State.AVOIDED)
 			.map((server) -> server.server().value())
--- /dev/null
+++ b/wigeonmast-health/src/test/java/org/wigeonmast/health/PermitSimulation.java
@@ -0,0 +1,368 @@
+package org.wigeonmast.health;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.testing.EventQueue;
+
+/**
+ * Daemons that eject servers at random while messages, clocks and processes fail.
+ * <p>
+ * Thread safety: none.
+ */
+final class PermitSimulation {
+
+	static final int SERVERS = 6;
+
+	static final int FLOOR = 4;
+
+	private static final Region REGION = new Region("bagmati");
+
+	private static final ServiceName SERVICE = new ServiceName("catalogue");
+
+	private static final long MILLISECOND = EventQueue.MICROSECONDS_PER_MILLISECOND;
+
+	private static final double CLOCK_ERROR = 0.01;
+
+	private final EventQueue queue = new EventQueue();
+
+	private final Random random;
+
+	private final Fault fault;
+
+	private final List<Node> nodes = new ArrayList<>();
+
+	private final Map<FailureDomain, List<DaemonId>> voters = new HashMap<>();
+
+	private final Set<List<String>> cuts = new HashSet<>();
+
+	private final int declared;
+
+	private double loss;
+
+	private int greatestUnion;
+
+	private boolean viewBelowFloor;
+
+	PermitSimulation(long seed, Fault fault) {
+		this.random = new Random(seed);
+		this.fault = fault;
+		this.declared = 3 + 2 * this.random.nextInt(2);
+		int running = this.declared + ((fault == Fault.MORE_DAEMONS_THAN_DECLARED) ? 1 : 0);
+		for (String name : List.of("a", "b")) {
+			for (int number = 0; number < running; number++) {
+				this.nodes.add(new Node(new FailureDomain(REGION, name), name + number));
+			}
+		}
+		this.nodes.forEach(Node::start);
+	}
+
+	/** Runs for a time and returns the greatest number of servers ejected at once. */
+	int run(long time) {
+		for (long now = 0; now < time; now += 50) {
+			this.queue.runUntil(now * MILLISECOND);
+			this.nodes.forEach(Node::tick);
+			if (this.random.nextInt(4) == 0) {
+				disturb();
+			}
+			check();
+		}
+		return this.greatestUnion;
+	}
+
+	boolean viewBelowFloor() {
+		return this.viewBelowFloor;
+	}
+
+	private void check() {
+		Set<BackendServerId> union = new HashSet<>();
+		for (Node node : this.nodes) {
+			Set<BackendServerId> available = new HashSet<>(servers());
+			available.removeAll(node.unavailable);
+			int least = Math.min(FLOOR, available.size());
+			for (FollowedEjection ejection : node.view.followed(node.now(), SERVICE)) {
+				union.add(ejection.server());
+				available.remove(ejection.server());
+			}
+			this.viewBelowFloor |= available.size() < least;
+		}
+		this.greatestUnion = Math.max(this.greatestUnion, union.size());
+	}
+
+	private void disturb() {
+		this.nodes.stream()
+			.filter((owner) -> owner.permits != null)
+			.forEach((owner) -> owner.receive(new HealthInput.VotersChanged(owner.copyOfVoters())));
+		Node node = this.nodes.get(this.random.nextInt(this.nodes.size()));
+		switch (this.random.nextInt(12)) {
+			case 0, 1, 2, 3 -> node.want();
+			case 4 -> node.dropWish();
+			case 5 -> node.start();
+			case 6 -> restartDomain(node.domain);
+			case 7 -> node.pausedUntil = this.queue.microseconds() + this.random.nextInt(6_000) * MILLISECOND;
+			case 8 -> partition();
+			case 9 -> this.cuts.add(List.of(node.id.name(), this.nodes.getFirst().id.name()));
+			case 10 -> this.loss = this.random.nextInt(3) * 0.15;
+			default -> node.changeAvailability();
+		}
+	}
+
+	private void restartDomain(FailureDomain domain) {
+		if (this.random.nextBoolean()) {
+			this.nodes.stream().filter((node) -> node.domain.equals(domain)).forEach(Node::start);
+		}
+	}
+
+	private void partition() {
+		this.cuts.clear();
+		if (this.random.nextBoolean()) {
+			Set<Node> side = new HashSet<>();
+			this.nodes.stream().filter((node) -> this.random.nextBoolean()).forEach(side::add);
+			for (Node from : this.nodes) {
+				for (Node to : this.nodes) {
+					if (side.contains(from) != side.contains(to)) {
+						this.cuts.add(List.of(from.id.name(), to.id.name()));
+					}
+				}
+			}
+		}
+	}
+
+	private void send(Node from, DaemonId to, HealthMessage message) {
+		int copies = (this.random.nextDouble() < this.loss) ? 0 : 1 + this.random.nextInt(20) / 19;
+		for (int copy = 0; copy < copies; copy++) {
+			boolean late = this.random.nextInt(12) == 0;
+			long delay = this.random.nextInt(late ? 4_000 : 20) * MILLISECOND;
+			DaemonId sender = from.id;
+			this.queue.schedule(delay, () -> deliver(sender, to, message));
+		}
+	}
+
+	private void deliver(DaemonId sender, DaemonId receiver, HealthMessage message) {
+		for (Node node : this.nodes) {
+			if (node.id.equals(receiver) && !this.cuts.contains(List.of(sender.name(), receiver.name()))) {
+				node.receive(new HealthInput.Received(sender, this.fault.change(node.memory, message)));
+			}
+		}
+	}
+
+	private static List<BackendServerId> servers() {
+		List<BackendServerId> servers = new ArrayList<>();
+		for (int server = 0; server < SERVERS; server++) {
+			servers.add(new BackendServerId("server-" + server));
+		}
+		return servers;
+	}
+
+	private ServicePlan plan(int daemons) {
+		List<ServicePlan.Server> servers = servers().stream()
+			.map((id) -> new ServicePlan.Server(id, REGION, 3))
+			.toList();
+		return new ServicePlan(SERVICE, servers, FLOOR,
+				List.of(new ServicePlan.Domain(new FailureDomain(REGION, "a"), daemons),
+						new ServicePlan.Domain(new FailureDomain(REGION, "b"), daemons)));
+	}
+
+	/** A rule that is broken on purpose. */
+	enum Fault {
+
+		NONE,
+
+		/** A restarted daemon promises at once. */
+		NO_SILENCE_AFTER_RESTART,
+
+		/**
+		 * An owner counts the lease from the latest request instead of the answered one.
+		 */
+		OWNER_COUNTS_FROM_LATEST_REQUEST,
+
+		/** An entry daemon counts the lease from its latest query. */
+		VIEW_COUNTS_FROM_LATEST_QUERY,
+
+		/** An owner needs a majority of the daemons that answer, not of all. */
+		MAJORITY_OF_ANSWERING,
+
+		/** An owner gives a permit back while its advice may still be followed. */
+		EARLY_RELEASE,
+
+		/** The assumption of the design, not a rule, is broken. */
+		MORE_DAEMONS_THAN_DECLARED;
+
+		private HealthMessage change(Map<Object, Long> latest, HealthMessage message) {
+			return switch (message) {
+				case HealthMessage.PromiseReply reply when this == OWNER_COUNTS_FROM_LATEST_REQUEST ->
+					new HealthMessage.PromiseReply(reply.service(), reply.permit(), reply.server(),
+							latest.getOrDefault(reply.server(), 0L), reply.refusal(), reply.holder());
+				case HealthMessage.EjectionAdvice advice when this == VIEW_COUNTS_FROM_LATEST_QUERY ->
+					new HealthMessage.EjectionAdvice(advice.service(), latest.getOrDefault(advice.service(), 0L),
+							advice.ejections());
+				default -> message;
+			};
+		}
+
+	}
+
+	/** One daemon, which may own the service. */
+	private final class Node {
+
+		private final FailureDomain domain;
+
+		private final double rate = 1 + CLOCK_ERROR * (2 * PermitSimulation.this.random.nextDouble() - 1);
+
+		/** The latest numbers sent, by server for requests and by service for queries. */
+		private final Map<Object, Long> memory = new HashMap<>();
+
+		private final List<HealthInput> waiting = new ArrayList<>();
+
+		private final Set<BackendServerId> unavailable = new HashSet<>();
+
+		private DaemonId id;
+
+		private PromiseKeeper keeper;
+
+		private EjectionView view;
+
+		private @Nullable EjectionPermits permits;
+
+		private long pausedUntil;
+
+		private Node(FailureDomain domain, String name) {
+			this.domain = domain;
+			this.id = new DaemonId(name, 0);
+			this.keeper = new PromiseKeeper(domain, 0);
+			this.view = new EjectionView(this.id);
+		}
+
+		/** Starts the daemon anew, without any memory. */
+		private void start() {
+			this.id = new DaemonId(this.id.name(), this.id.incarnation() + 1);
+			this.keeper = new PromiseKeeper(this.domain, now());
+			if (PermitSimulation.this.fault == Fault.NO_SILENCE_AFTER_RESTART) {
+				this.keeper = new PromiseKeeper(this.domain, now() - Leases.PROMISE);
+				this.keeper.tick(now() - Leases.PROMISE / 2);
+			}
+			this.view = new EjectionView(this.id);
+			this.permits = null;
+			this.waiting.clear();
+			this.unavailable.clear();
+			this.keeper.handle(now(), new HealthInput.PlanChanged(plan(PermitSimulation.this.declared)));
+			this.view.handle(now(), new HealthInput.PlanChanged(plan(PermitSimulation.this.declared)));
+			List<DaemonId> members = PermitSimulation.this.voters.computeIfAbsent(this.domain,
+					(added) -> new ArrayList<>());
+			members.removeIf((member) -> member.name().equals(this.id.name()));
+			members.add(this.id);
+		}
+
+		private long now() {
+			return (long) (PermitSimulation.this.queue.microseconds() * this.rate / MILLISECOND);
+		}
+
+		private boolean paused() {
+			return PermitSimulation.this.queue.microseconds() < this.pausedUntil;
+		}
+
+		private void receive(HealthInput input) {
+			if (paused()) {
+				this.waiting.add(input);
+				return;
+			}
+			List<HealthEffect> effects = new ArrayList<>(this.keeper.handle(now(), input));
+			effects.addAll(this.view.handle(now(), input));
+			if (this.permits != null) {
+				effects.addAll(this.permits.handle(now(), input));
+			}
+			effects.forEach(this::perform);
+		}
+
+		private void tick() {
+			if (paused()) {
+				return;
+			}
+			// A process that resumes finds its messages before its timers.
+			List<HealthInput> inputs = List.copyOf(this.waiting);
+			this.waiting.clear();
+			inputs.forEach(this::receive);
+			List<HealthEffect> effects = new ArrayList<>(this.keeper.tick(now()));
+			effects.addAll(this.view.tick(now()));
+			if (this.permits != null) {
+				effects.addAll(this.permits.tick(now()));
+			}
+			effects.forEach(this::perform);
+		}
+
+		private void perform(HealthEffect effect) {
+			switch (effect) {
+				case HealthEffect.Send(DaemonId receiver, HealthMessage message) -> {
+					switch (message) {
+						case HealthMessage.PromiseRequest request ->
+							this.memory.put(request.server(), request.sequence());
+						case HealthMessage.EjectionQuery query -> this.memory.put(query.service(), query.sequence());
+						default -> {
+						}
+					}
+					send(this, receiver, message);
+				}
+				case HealthEffect.Broadcast(HealthMessage message) ->
+					PermitSimulation.this.nodes.forEach((node) -> send(this, node.id, message));
+				default -> {
+				}
+			}
+		}
+
+		private void want() {
+			if (this.permits == null) {
+				boolean wrong = PermitSimulation.this.fault == Fault.MAJORITY_OF_ANSWERING;
+				int daemons = wrong ? PermitSimulation.this.declared / 2 : PermitSimulation.this.declared;
+				this.permits = new EjectionPermits(this.id, REGION, plan(daemons));
+			}
+			BackendServerId server = new BackendServerId("server-" + PermitSimulation.this.random.nextInt(SERVERS));
+			receive(new HealthInput.VotersChanged(copyOfVoters()));
+			receive(new HealthInput.EjectionWanted(server, PermitSimulation.this.random.nextInt(100), false, "test"));
+		}
+
+		private void dropWish() {
+			for (BackendServerId server : servers()) {
+				boolean held = this.permits != null && this.permits.holds(now(), server);
+				receive(new HealthInput.EjectionUnwanted(server));
+				if (held && PermitSimulation.this.fault == Fault.EARLY_RELEASE) {
+					for (int permit = 0; permit < SERVERS - FLOOR; permit++) {
+						HealthMessage release = new HealthMessage.PromiseRelease(SERVICE, permit, server,
+								Long.MAX_VALUE);
+						copyOfVoters().values().forEach((daemons) -> daemons.forEach((to) -> send(this, to, release)));
+					}
+				}
+			}
+		}
+
+		private void changeAvailability() {
+			BackendServerId server = servers().get(PermitSimulation.this.random.nextInt(SERVERS));
+			boolean leaves = this.unavailable.isEmpty() && PermitSimulation.this.random.nextBoolean();
+			this.unavailable
+				.forEach((other) -> receive(new HealthInput.AvailabilityChanged(other, Availability.AVAILABLE)));
+			this.unavailable.clear();
+			if (leaves && !paused()) {
+				this.unavailable.add(server);
+				receive(new HealthInput.AvailabilityChanged(server, Availability.LEAVING));
+			}
+		}
+
+		private Map<FailureDomain, List<DaemonId>> copyOfVoters() {
+			Map<FailureDomain, List<DaemonId>> copy = new HashMap<>();
+			PermitSimulation.this.voters.forEach((name, members) -> copy.put(name, List.copyOf(members)));
+			return copy;
+		}
+
+	}
+
+}
