--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/HostListParser.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/HostListParser.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.vavr.control.Either;
-import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.manifest.store.PlatformHost;
 
@@ -20,10 +18,6 @@
 
 	private static final String HOSTS = "hosts";
 
-	private static final Pattern ROLE = Pattern.compile("entry|backend");
-
-	private static final Pattern STATE = Pattern.compile("live|leaving");
-
 	private final ErrorList errors = new ErrorList();
 
 	private final List<PlatformHost> hosts = new ArrayList<>();
@@ -71,9 +65,9 @@
 		String state = null;
 		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
 			switch (field) {
-				case "role" -> role = cursor.text(ROLE, ManifestTexts.ROLE_WANTED);
-				case "address" -> address = readAddress(cursor);
-				case "state" -> state = cursor.text(STATE, ManifestTexts.STATE_WANTED);
+				case "role" -> role = cursor.text(TextForm.ROLE);
+				case "address" -> address = cursor.address();
+				case "state" -> state = cursor.text(TextForm.STATE);
 				default -> cursor.unknownField(field, "role, address and state");
 			}
 		}
@@ -85,9 +79,4 @@
 				address, state.equals("leaving")));
 	}
 
-	private static @Nullable HostAddress readAddress(JsonCursor cursor) throws IOException {
-		String text = cursor.text(TextForms.ADDRESS, ManifestTexts.ADDRESS_WANTED);
-		return text.isEmpty() ? null : TextForms.address(text);
-	}
-
 }
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/IndexParser.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/IndexParser.java
@@ -92,8 +92,8 @@
 		long size = MISSING;
 		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
 			switch (field) {
-				case "name" -> name = cursor.text(TextForms.NAME, ManifestTexts.NAME_WANTED);
-				case "sha256" -> hash = cursor.text(TextForms.HASH, ManifestTexts.HASH_WANTED);
+				case "name" -> name = cursor.text(TextForm.NAME);
+				case "sha256" -> hash = cursor.text(TextForm.HASH);
 				case "size" -> size = cursor.integer(1, ManifestBounds.GREATEST_DOCUMENT);
 				default -> cursor.unknownField(field, "name, sha256 and size");
 			}
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/JsonCursor.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/JsonCursor.java
@@ -1,7 +1,6 @@
 package org.wigeonmast.manifest.internal;
 
 import java.io.IOException;
-import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -9,6 +8,7 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.HostAddress;
 
 /**
  * Reads one JSON document value by value and collects what is wrong with the values.
@@ -19,6 +19,9 @@
  */
 final class JsonCursor implements AutoCloseable {
 
+	/** Stands for an address that was wrong. */
+	static final HostAddress NO_ADDRESS = new HostAddress("", 0);
+
 	private static final int GREATEST_NESTING = 8;
 
 	private static final int LONGEST_NUMBER = 40;
@@ -113,31 +116,46 @@
 	/**
 	 * Reads a text.
 	 * @param form the form that it must have
-	 * @param wanted what the form demands
 	 * @return the text, or an empty one after an error
 	 */
-	String text(Pattern form, String wanted) throws IOException {
+	String text(TextForm form) throws IOException {
 		if (this.parser.currentToken() != JsonToken.VALUE_STRING) {
-			wrongValue(wanted);
+			wrongValue(form.wanted());
 			return "";
 		}
 		String text = this.parser.getText();
-		if (!form.matcher(text).matches()) {
-			error(ManifestTexts.wrongText(text, wanted));
+		if (!form.matches(text)) {
+			error(ManifestTexts.wrongText(text, form.wanted()));
 			return "";
 		}
 		return text;
 	}
 
+	/**
+	 * Reads the address of a host.
+	 * @return the address, or {@link #NO_ADDRESS} after an error
+	 */
+	HostAddress address() throws IOException {
+		if (this.parser.currentToken() != JsonToken.VALUE_STRING) {
+			wrongValue(ManifestTexts.ADDRESS_WANTED);
+			return NO_ADDRESS;
+		}
+		HostAddress address = Addresses.parse(this.parser.getText());
+		if (address == null) {
+			error(ManifestTexts.wrongText(this.parser.getText(), ManifestTexts.ADDRESS_WANTED));
+			return NO_ADDRESS;
+		}
+		return address;
+	}
+
 	long integer(long least, long greatest) throws IOException {
-		String wanted = ManifestTexts.integerWanted(least, greatest);
 		if (this.parser.currentToken() != JsonToken.VALUE_NUMBER_INT) {
-			wrongValue(wanted);
+			wrongValue(ManifestTexts.integerWanted(least, greatest));
 			return least;
 		}
 		boolean fits = this.parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER;
 		if (!fits || this.parser.getLongValue() < least || this.parser.getLongValue() > greatest) {
-			error(ManifestTexts.wrongText(this.parser.getText(), wanted));
+			error(ManifestTexts.wrongText(this.parser.getText(), ManifestTexts.integerWanted(least, greatest)));
 			return least;
 		}
 		return this.parser.getLongValue();
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/PartParser.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/PartParser.java
@@ -52,8 +52,6 @@
 
 	private static final FailureDomain NO_DOMAIN = new FailureDomain(new Region(""), "");
 
-	private static final HostAddress NO_ADDRESS = new HostAddress("", 0);
-
 	private final ErrorList errors;
 
 	private final Map<String, FailureDomain> domains = new HashMap<>();
@@ -157,8 +155,8 @@
 		long connections = MISSING;
 		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
 			switch (field) {
-				case "id" -> id = cursor.text(TextForms.NAME, ManifestTexts.NAME_WANTED);
-				case "address" -> address = readAddress(cursor);
+				case "id" -> id = cursor.text(TextForm.NAME);
+				case "address" -> address = cursor.address();
 				case "domain" -> domain = readDomainName(cursor);
 				case "slots" -> slots = cursor.integer(1, GREATEST_SLOTS);
 				case "connections" -> connections = cursor.integer(1, GREATEST_CONNECTIONS);
@@ -166,8 +164,9 @@
 			}
 		}
 		return new BackendServer(new BackendServerId(required(cursor, "id", id, "")),
-				required(cursor, "address", address, NO_ADDRESS), required(cursor, "domain", domain, NO_DOMAIN),
-				(int) required(cursor, "slots", slots), (int) required(cursor, "connections", connections));
+				required(cursor, "address", address, JsonCursor.NO_ADDRESS),
+				required(cursor, "domain", domain, NO_DOMAIN), (int) required(cursor, "slots", slots),
+				(int) required(cursor, "connections", connections));
 	}
 
 	private Route readRoute(JsonCursor cursor) throws IOException {
@@ -180,7 +179,7 @@
 		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
 			switch (field) {
 				case "method" -> method = readMethod(cursor);
-				case "path" -> path = cursor.text(TextForms.PATH, ManifestTexts.PATH_WANTED);
+				case "path" -> path = cursor.text(TextForm.PATH);
 				case "service" -> service = readServiceName(cursor);
 				case "class" -> workClass = readClass(cursor);
 				case "idempotent" -> idempotent = cursor.bool();
@@ -200,7 +199,7 @@
 		long rate = MISSING;
 		for (String field = cursor.nextField(); field != null; field = cursor.nextField()) {
 			switch (field) {
-				case "id" -> id = cursor.text(TextForms.CALLER, ManifestTexts.CALLER_WANTED);
+				case "id" -> id = cursor.text(TextForm.CALLER);
 				case "requestsPerSecond" -> rate = cursor.integer(1, GREATEST_RATE);
 				default -> cursor.unknownField(field, "id and requestsPerSecond");
 			}
@@ -210,32 +209,25 @@
 	}
 
 	private FailureDomain readDomainName(JsonCursor cursor) throws IOException {
-		String text = cursor.text(TextForms.DOMAIN, ManifestTexts.DOMAIN_WANTED);
-		return text.isEmpty() ? NO_DOMAIN : this.domains.computeIfAbsent(text, TextForms::domain);
+		String text = cursor.text(TextForm.DOMAIN);
+		return text.isEmpty() ? NO_DOMAIN : this.domains.computeIfAbsent(text, PartParser::domain);
+	}
+
+	private static FailureDomain domain(String text) {
+		int slash = text.indexOf('/');
+		return new FailureDomain(new Region(text.substring(0, slash)), text.substring(slash + 1));
 	}
 
 	private ServiceName readServiceName(JsonCursor cursor) throws IOException {
-		return this.services.computeIfAbsent(cursor.text(TextForms.NAME, ManifestTexts.NAME_WANTED), ServiceName::new);
+		return this.services.computeIfAbsent(cursor.text(TextForm.NAME), ServiceName::new);
 	}
 
 	private String readMethod(JsonCursor cursor) throws IOException {
-		return this.methods.computeIfAbsent(cursor.text(TextForms.METHOD, ManifestTexts.METHOD_WANTED),
-				(method) -> method);
+		return this.methods.computeIfAbsent(cursor.text(TextForm.METHOD), (method) -> method);
 	}
 
 	private static WorkClass readClass(JsonCursor cursor) throws IOException {
-		return cursor.text(TextForms.WORK_CLASS, ManifestTexts.CLASS_WANTED).equals("long") ? WorkClass.LONG
-				: WorkClass.SHORT;
-	}
-
-	private static HostAddress readAddress(JsonCursor cursor) throws IOException {
-		String text = cursor.text(TextForms.ADDRESS, ManifestTexts.ADDRESS_WANTED);
-		HostAddress address = text.isEmpty() ? NO_ADDRESS : TextForms.address(text);
-		if (address == null) {
-			cursor.error(ManifestTexts.wrongText(text, ManifestTexts.ADDRESS_WANTED));
-			return NO_ADDRESS;
-		}
-		return address;
+		return cursor.text(TextForm.WORK_CLASS).equals("long") ? WorkClass.LONG : WorkClass.SHORT;
 	}
 
 	private static <T> T required(JsonCursor cursor, String name, @Nullable T value, T substitute) {
--- /dev/null
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/TextForm.java
@@ -0,0 +1,179 @@
+package org.wigeonmast.manifest.internal;
+
+/**
+ * The form of a text in a manifest.
+ * <p>
+ * Thread safety: immutable. Checks read each character at most twice; regular expressions
+ * took most of the time of reading a manifest of the design size.
+ */
+enum TextForm {
+
+	/** A name of a service, a backend server or a part. */
+	NAME(ManifestTexts.NAME_WANTED) {
+		@Override
+		boolean matches(String text) {
+			return isName(text, 0, text.length());
+		}
+	},
+
+	/** An identifier of a caller. */
+	CALLER(ManifestTexts.CALLER_WANTED) {
+		@Override
+		boolean matches(String text) {
+			return !text.isEmpty() && text.length() <= LONGEST_CALLER && isVisible(text);
+		}
+	},
+
+	/** A region and a failure domain. */
+	DOMAIN(ManifestTexts.DOMAIN_WANTED) {
+		@Override
+		boolean matches(String text) {
+			int slash = text.indexOf('/');
+			return slash > 0 && isName(text, 0, slash) && isName(text, slash + 1, text.length());
+		}
+	},
+
+	/** An HTTP method, or every method. */
+	METHOD(ManifestTexts.METHOD_WANTED) {
+		@Override
+		boolean matches(String text) {
+			boolean capitals = text.chars().allMatch((character) -> character >= 'A' && character <= 'Z');
+			return text.equals("*") || (capitals && !text.isEmpty() && text.length() <= LONGEST_METHOD);
+		}
+	},
+
+	/** A path prefix. */
+	PATH(ManifestTexts.PATH_WANTED) {
+		@Override
+		boolean matches(String text) {
+			return isPath(text);
+		}
+	},
+
+	/** A class of work. */
+	WORK_CLASS(ManifestTexts.CLASS_WANTED) {
+		@Override
+		boolean matches(String text) {
+			return text.equals("short") || text.equals("long");
+		}
+	},
+
+	/** A SHA-256. */
+	HASH(ManifestTexts.HASH_WANTED) {
+		@Override
+		boolean matches(String text) {
+			return text.length() == HASH_LENGTH && text.chars()
+				.allMatch((character) -> (character >= '0' && character <= '9')
+						|| (character >= 'a' && character <= 'f'));
+		}
+	},
+
+	/** The role of a host. */
+	ROLE(ManifestTexts.ROLE_WANTED) {
+		@Override
+		boolean matches(String text) {
+			return text.equals("entry") || text.equals("backend");
+		}
+	},
+
+	/** The state of a host. */
+	STATE(ManifestTexts.STATE_WANTED) {
+		@Override
+		boolean matches(String text) {
+			return text.equals("live") || text.equals("leaving");
+		}
+	};
+
+	private static final int LONGEST_NAME = 63;
+
+	private static final int LONGEST_CALLER = 128;
+
+	private static final int LONGEST_METHOD = 20;
+
+	private static final int LONGEST_PATH = 512;
+
+	private static final int GREATEST_DEPTH = 32;
+
+	private static final int HASH_LENGTH = 64;
+
+	/**
+	 * Characters that begin a query or a fragment, or that some servers take for a slash.
+	 */
+	private static final String NOT_IN_PATHS = "?#\\";
+
+	private final String wanted;
+
+	TextForm(String wanted) {
+		this.wanted = wanted;
+	}
+
+	/**
+	 * Returns whether a text has this form.
+	 * @param text the text
+	 * @return whether it has
+	 */
+	abstract boolean matches(String text);
+
+	/**
+	 * Returns what the form demands.
+	 * @return the description for messages
+	 */
+	String wanted() {
+		return this.wanted;
+	}
+
+	private static boolean isName(String text, int start, int end) {
+		if (end <= start || end - start > LONGEST_NAME || !isAlphanumeric(text.charAt(start))) {
+			return false;
+		}
+		for (int i = start + 1; i < end; i++) {
+			char character = text.charAt(i);
+			if (!isAlphanumeric(character) && character != '.' && character != '_' && character != '-') {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static boolean isAlphanumeric(char character) {
+		return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9')
+				|| (character >= 'A' && character <= 'Z');
+	}
+
+	private static boolean isVisible(String text) {
+		for (int i = 0; i < text.length(); i++) {
+			if (text.charAt(i) < '!' || text.charAt(i) > '~') {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static boolean isPath(String text) {
+		if (text.isEmpty() || text.charAt(0) != '/' || text.length() > LONGEST_PATH || !isVisible(text)) {
+			return false;
+		}
+		int depth = 0;
+		int start = 1;
+		for (int i = 1; i <= text.length() && text.length() > 1; i++) {
+			if (i == text.length() || text.charAt(i) == '/') {
+				if (!isSegment(text, start, i)) {
+					return false;
+				}
+				depth++;
+				start = i + 1;
+			}
+			else if (NOT_IN_PATHS.indexOf(text.charAt(i)) >= 0) {
+				return false;
+			}
+		}
+		return depth <= GREATEST_DEPTH;
+	}
+
+	private static boolean isSegment(String text, int start, int end) {
+		int length = end - start;
+		boolean dots = length <= 2 && text.startsWith("..".substring(0, length), start);
+		return length > 0 && !dots;
+	}
+
+}
