--- a/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
+++ b/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.SharedKey;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -26,14 +27,15 @@
 
 	private static final int WAIT_SECONDS = 20;
 
-	private static final SharedKey KEY = new SharedKey("0123456789abcdef".getBytes(StandardCharsets.US_ASCII));
+	private static final SharedKey KEY = new SharedKey(
+			"0123456789abcdef0123456789abcdef".getBytes(StandardCharsets.US_ASCII));
 
 	private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
 
 	private final PeerLinks receiver = open("receiver", KEY, 0,
-			(from, slice, content) -> this.received.add(new Received(from, slice, content)));
+			(from, address, slice, content) -> this.received.add(new Received(from, slice, content)));
 
-	private final PeerLinks sender = open("sender", KEY, 0, (from, slice, content) -> {
+	private final PeerLinks sender = open("sender", KEY, 0, (from, address, slice, content) -> {
 	});
 
 	PeerLinksTests() throws LinkListenerException {
@@ -73,8 +75,8 @@
 	// Guards against messages from a daemon that does not hold the fleet's key.
 	@Test
 	void peerWithAnotherKeyIsNotHeard() throws Exception {
-		SharedKey otherKey = new SharedKey("another key here".getBytes(StandardCharsets.US_ASCII));
-		try (PeerLinks stranger = open("stranger", otherKey, 0, (from, slice, content) -> {
+		SharedKey otherKey = new SharedKey("another key here that is long enough".getBytes(StandardCharsets.US_ASCII));
+		try (PeerLinks stranger = open("stranger", otherKey, 0, (from, address, slice, content) -> {
 		})) {
 			stranger.send(this.receiver.address(), Slice.DISPATCH, new byte[] { 1 });
 			this.sender.send(this.receiver.address(), Slice.DISPATCH, new byte[] { 2 });
@@ -127,7 +129,7 @@
 	private PeerLinks tryOpen(int port) {
 		try {
 			return open("receiver", KEY, port,
-					(from, slice, content) -> this.received.add(new Received(from, slice, content)));
+					(from, address, slice, content) -> this.received.add(new Received(from, slice, content)));
 		}
 		catch (LinkListenerException exception) {
 			return null;
