--- /dev/null
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/path/ThreadUsage.java
@@ -0,0 +1,44 @@
+package org.wigeonmast.bench.path;
+
+import java.lang.management.ManagementFactory;
+import java.util.Arrays;
+
+import com.sun.management.ThreadMXBean;
+
+/**
+ * Processor time and allocated memory of the proxy's threads so far.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param nanoseconds the processor time in nanoseconds
+ * @param bytes the allocated heap memory in bytes
+ */
+record ThreadUsage(long nanoseconds, long bytes) {
+
+	private static final String TRAFFIC = "wigeonmast-traffic";
+
+	/**
+	 * Reads the usage of the traffic thread and the control thread.
+	 * @return the usage
+	 */
+	static ThreadUsage read() {
+		ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+		long[] own = Arrays.stream(threads.getThreadInfo(threads.getAllThreadIds()))
+			.filter((thread) -> thread != null && (thread.getThreadName().startsWith(TRAFFIC)
+					|| thread.getThreadName().equals(ImmediateDispatch.THREAD)))
+			.mapToLong((thread) -> thread.getThreadId())
+			.toArray();
+		return new ThreadUsage(Arrays.stream(own).map(threads::getThreadCpuTime).sum(),
+				Arrays.stream(own).map(threads::getThreadAllocatedBytes).sum());
+	}
+
+	/**
+	 * Returns the usage since an earlier reading.
+	 * @param earlier the earlier reading
+	 * @return the difference
+	 */
+	ThreadUsage since(ThreadUsage earlier) {
+		return new ThreadUsage(this.nanoseconds - earlier.nanoseconds, this.bytes - earlier.bytes);
+	}
+
+}
