--- a/wigeonmast-core/src/main/java/org/wigeonmast/core/AuditKind.java
+++ b/wigeonmast-core/src/main/java/org/wigeonmast/core/AuditKind.java
@@ -19,6 +19,9 @@
 	/** The floor guard ignored an ejection. */
 	FLOOR_GUARD,
 
+	/** One daemon avoids a backend server that others reach. */
+	PATH_AVOIDED,
+
 	/** A backend server started to leave. */
 	LEAVING,
 
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthEffect.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthEffect.java
@@ -1,6 +1,7 @@
 package org.wigeonmast.health;
 
 import java.util.List;
+import java.util.Set;
 
 import org.wigeonmast.core.AuditEntry;
 import org.wigeonmast.core.BackendServerId;
@@ -87,6 +88,14 @@
 	record PermitLost(BackendServerId server, int permit) implements HealthEffect {
 	}
 
+	/**
+	 * The backend servers that this daemon cannot reach changed.
+	 *
+	 * @param servers the servers to avoid, which others may use
+	 */
+	record PathsAvoided(Set<BackendServerId> servers) implements HealthEffect {
+	}
+
 	/**
 	 * The ejections that this daemon follows changed.
 	 *
