--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/Daemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/Daemon.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.core.WigeonmastException;
 import org.wigeonmast.daemon.internal.DaemonAssembly;
@@ -43,6 +44,15 @@
 		return this.assembly.isReady();
 	}
 
+	/**
+	 * Returns whether this daemon follows an ejection of a backend server.
+	 * @param server the backend server
+	 * @return whether it is ejected
+	 */
+	public boolean isEjected(BackendServerId server) {
+		return this.assembly.isEjected(server);
+	}
+
 	/**
 	 * Stops gracefully: readiness fails, owned services are handed over, and all requests
 	 * are finished. Later calls return the same future.
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/BackendProber.java
@@ -0,0 +1,65 @@
+package org.wigeonmast.daemon.internal;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.wigeonmast.core.HostAddress;
+
+/**
+ * Sends single probes to backend servers on trial that get no work.
+ * <p>
+ * Thread safety: usable from any thread; results come on a thread of the HTTP client.
+ */
+final class BackendProber implements AutoCloseable {
+
+	/**
+	 * Time in milliseconds after which a probe counts as failed; a healthy probe takes 25
+	 * ms of a slot.
+	 */
+	private static final long TIMEOUT_MILLISECONDS = 500;
+
+	private static final int SERVER_ERROR = 500;
+
+	private final OkHttpClient client = new OkHttpClient.Builder().followRedirects(false)
+		.retryOnConnectionFailure(false)
+		.callTimeout(Duration.ofMillis(TIMEOUT_MILLISECONDS))
+		.build();
+
+	/**
+	 * Sends one probe.
+	 * @param address the server's address
+	 * @param result takes whether the server answered without an error of its own
+	 */
+	void probe(HostAddress address, Consumer<Boolean> result) {
+		Request request = new Request.Builder().url("http://" + address + "/").head().build();
+		this.client.newCall(request).enqueue(new Callback() {
+
+			@Override
+			public void onFailure(Call call, IOException exception) {
+				result.accept(false);
+			}
+
+			@Override
+			public void onResponse(Call call, Response response) {
+				try (response) {
+					result.accept(response.code() < SERVER_ERROR);
+				}
+			}
+
+		});
+	}
+
+	@Override
+	public void close() {
+		this.client.dispatcher().cancelAll();
+		this.client.dispatcher().executorService().shutdown();
+		this.client.connectionPool().evictAll();
+	}
+
+}
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
+import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.daemon.DaemonEvent;
@@ -26,6 +27,8 @@
 
 	private final ScheduledThreadPoolExecutor executor;
 
+	private volatile @Nullable Thread thread;
+
 	/**
 	 * Creates the thread.
 	 * @param clock the clock
@@ -35,6 +38,7 @@
 		this.executor = new ScheduledThreadPoolExecutor(1, (task) -> {
 			Thread thread = new Thread(task, "control");
 			thread.setDaemon(true);
+			this.thread = thread;
 			return thread;
 		});
 		this.executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
@@ -71,6 +75,9 @@
 	@Override
 	public void close() {
 		this.executor.shutdown();
+		if (Thread.currentThread().equals(this.thread)) {
+			return;
+		}
 		try {
 			this.executor.awaitTermination(CLOSE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
 		}
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonAssembly.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonAssembly.java
@@ -1,19 +1,31 @@
 package org.wigeonmast.daemon.internal;
 
 import java.security.SecureRandom;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
+import com.codahale.metrics.MetricRegistry;
+import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.MillisecondClock;
+import org.wigeonmast.core.ServiceName;
 import org.wigeonmast.core.WigeonmastException;
 import org.wigeonmast.daemon.DaemonAddresses;
 import org.wigeonmast.daemon.DaemonEvent;
+import org.wigeonmast.health.ServerHealth;
+import org.wigeonmast.manifest.BackendServer;
 import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.store.PlatformHost;
+import org.wigeonmast.membership.Member;
 import org.wigeonmast.settings.DaemonSettings;
 import org.wigeonmast.wire.LinkSettings;
 
@@ -23,7 +35,7 @@
  * Thread safety: the public methods can be called from any thread; the parts run on the
  * control thread.
  */
-public final class DaemonAssembly implements FleetListener, AutoCloseable {
+public final class DaemonAssembly implements FleetListener, HealthListener, AutoCloseable {
 
 	/** Algorithm of the random numbers that decide nothing secret. */
 	private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
@@ -48,7 +60,17 @@
 
 	private final FleetShell fleet;
 
-	private final RequestShell requests;
+	private final HealthShell health;
+
+	private final DispatchShell dispatch;
+
+	private final BackendProber prober = new BackendProber();
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final Set<BackendServerId> ejected = ConcurrentHashMap.newKeySet();
+
+	private final AtomicBoolean closed = new AtomicBoolean();
 
 	private volatile boolean ready;
 
@@ -70,7 +92,10 @@
 		this.messenger = new PeerMessenger(this.control,
 				new LinkSettings(this.self, settings.peers().address(), settings.peers().key()));
 		this.fleet = new FleetShell(this.control, settings, this.self, this.messenger, random, this::audit, this);
-		this.requests = new RequestShell(this.control, settings, this.self, random, this::audit);
+		this.health = new HealthShell(this.control, this.self, settings.failureDomain(), this.messenger, this::audit,
+				this);
+		this.dispatch = new DispatchShell(this.control, settings, this.self, this.messenger, this.health, random,
+				this.metrics, this::audit);
 	}
 
 	/**
@@ -79,8 +104,12 @@
 	 * @throws WigeonmastException if an address cannot be bound
 	 */
 	public DaemonAddresses start() throws WigeonmastException {
-		HostAddress callers = this.requests.start();
-		this.control.execute(this.fleet::start);
+		HostAddress callers = this.dispatch.start();
+		this.control.execute(() -> {
+			this.messenger.start();
+			this.health.start();
+			this.fleet.start();
+		});
 		DaemonAddresses addresses = new DaemonAddresses(callers, this.messenger.address());
 		this.log.log(DaemonEvent.STARTED, this.self, addresses.callers(), addresses.peers(), this.settings.admin());
 		return addresses;
@@ -94,6 +123,15 @@
 		return this.ready && !this.stopping;
 	}
 
+	/**
+	 * Returns whether this daemon follows an ejection of a backend server.
+	 * @param server the backend server
+	 * @return whether it is ejected
+	 */
+	public boolean isEjected(BackendServerId server) {
+		return this.ejected.contains(server);
+	}
+
 	/**
 	 * Stops gracefully.
 	 * @return completes when the daemon has stopped
@@ -105,19 +143,26 @@
 
 	@Override
 	public void close() {
-		this.requests.close();
-		this.messenger.close();
-		this.control.close();
+		if (this.closed.compareAndSet(false, true)) {
+			this.dispatch.close();
+			this.prober.close();
+			this.messenger.close();
+			this.control.close();
+		}
 	}
 
 	@Override
 	public void membersChanged() {
-		this.requests.setLiveDaemons(this.fleet.live().size());
+		List<Member> live = this.fleet.live();
+		this.health.membersChanged(live, this.fleet.ownership());
+		this.dispatch.membersChanged(live, this.fleet.ownership());
 	}
 
 	@Override
 	public void manifestApplied(Manifest manifest) {
-		this.requests.apply(manifest);
+		this.dispatch.apply(manifest);
+		this.health.apply(manifest);
+		membersChanged();
 	}
 
 	@Override
@@ -133,7 +178,53 @@
 
 	@Override
 	public void resumed() {
-		// Components without a rule for pauses need nothing here.
+		this.dispatch.resumed();
+	}
+
+	@Override
+	public void hostsRead(List<PlatformHost> hosts) {
+		this.health.hostsRead(hosts);
+	}
+
+	@Override
+	public void judged(ServiceName service, List<ServerHealth> servers) {
+		this.dispatch.judged(service, servers);
+	}
+
+	@Override
+	public void statesChanged(ServiceName service) {
+		this.dispatch.statesChanged(service);
+		for (ServerHealth server : this.health.states(service)) {
+			if (server.state() == ServerHealth.State.EJECTED) {
+				this.ejected.add(server.server());
+			}
+			else {
+				this.ejected.remove(server.server());
+			}
+		}
+	}
+
+	@Override
+	public void probe(BackendServerId server) {
+		HostAddress address = address(server);
+		if (address != null) {
+			this.prober.probe(address,
+					(answered) -> this.control.execute(() -> this.health.probeEnded(server, answered)));
+		}
+	}
+
+	private @Nullable HostAddress address(BackendServerId id) {
+		Manifest manifest = this.fleet.manifest();
+		if (manifest == null) {
+			return null;
+		}
+		return manifest.services()
+			.stream()
+			.flatMap((service) -> service.servers().stream())
+			.filter((server) -> server.id().equals(id))
+			.map(BackendServer::address)
+			.findFirst()
+			.orElse(null);
 	}
 
 	private void beginStop() {
@@ -141,16 +232,16 @@
 			return;
 		}
 		this.stopping = true;
-		this.log.log(DaemonEvent.STOPPING, this.requests.active());
+		this.log.log(DaemonEvent.STOPPING, this.dispatch.active());
 		this.fleet.leave();
 		this.control.schedule(READINESS_GRACE_MILLISECONDS,
-				() -> this.requests.drain().whenComplete((ignored, failure) -> this.control.execute(this::endStop)));
+				() -> this.dispatch.drain().whenComplete((ignored, failure) -> this.control.execute(this::endStop)));
 	}
 
 	private void endStop() {
 		this.fleet.close();
-		this.requests.close();
-		this.messenger.close();
+		this.health.stop();
+		close();
 		this.log.log(DaemonEvent.STOPPED);
 		this.stopped.complete(null);
 	}
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DispatchShell.java
@@ -0,0 +1,233 @@
+package org.wigeonmast.daemon.internal;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import com.codahale.metrics.MetricRegistry;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.dispatch.CoordinatorInput;
+import org.wigeonmast.dispatch.DispatchCodec;
+import org.wigeonmast.dispatch.DispatchEffect;
+import org.wigeonmast.dispatch.DispatchMessage;
+import org.wigeonmast.dispatch.OwnedServices;
+import org.wigeonmast.dispatch.OwnerInput;
+import org.wigeonmast.dispatch.QueueOrder;
+import org.wigeonmast.dispatch.RequestCoordinator;
+import org.wigeonmast.health.ServerHealth;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.Service;
+import org.wigeonmast.membership.Member;
+import org.wigeonmast.membership.ownership.Ownership;
+import org.wigeonmast.proxy.ProxyConfiguration;
+import org.wigeonmast.proxy.ProxyServer;
+import org.wigeonmast.proxy.ProxyStartException;
+import org.wigeonmast.settings.DaemonSettings;
+import org.wigeonmast.wire.Slice;
+
+/**
+ * Connects the proxy with the entry side and the owner side of dispatch.
+ * <p>
+ * Thread safety: confined to the control thread, except {@link #drain()}. Invariant: the
+ * manifest that routes a request is known to the coordinator before the request is.
+ */
+final class DispatchShell implements AutoCloseable {
+
+	/**
+	 * Number of daemons in rank order that the entry side is told of for each service and
+	 * region.
+	 */
+	private static final int RANKED_OWNERS = 3;
+
+	private final EventLog log = new EventLog(DispatchShell.class);
+
+	private final Set<ServiceName> services = new HashSet<>();
+
+	private final Region region;
+
+	private final RequestCoordinator coordinator;
+
+	private final ComponentDriver<CoordinatorInput, DispatchEffect> coordinatorDriver;
+
+	private final ComponentDriver<OwnerInput, DispatchEffect> ownerDriver;
+
+	private final SliceEndpoint<DispatchMessage> endpoint;
+
+	private final HealthShell health;
+
+	private final ProxyServer proxy;
+
+	private final Consumer<AuditEntry> audit;
+
+	private volatile @Nullable Manifest routing;
+
+	private volatile int liveDaemons = 1;
+
+	private Set<DaemonId> live = Set.of();
+
+	DispatchShell(ControlThread control, DaemonSettings settings, DaemonId self, PeerMessenger messenger,
+			HealthShell health, RandomGenerator random, MetricRegistry metrics, Consumer<AuditEntry> audit) {
+		this.region = settings.failureDomain().region();
+		this.health = health;
+		this.audit = audit;
+		this.coordinator = new RequestCoordinator(self, this.region, random);
+		this.coordinatorDriver = new ComponentDriver<>(control, this.coordinator, this::carryOutHere);
+		this.ownerDriver = new ComponentDriver<>(control,
+				new OwnedServices(control.clock().milliseconds(), self, this.region, QueueOrder.EARLIEST_DEADLINE),
+				this::carryOutAsOwner);
+		this.endpoint = messenger.register(Slice.DISPATCH, new DispatchCodec(),
+				(from, message) -> received(from.id(), message));
+		this.proxy = new ProxyServer(configuration(settings), control.clock(), () -> this.routing,
+				(event) -> control.execute(() -> this.coordinatorDriver.handle(new CoordinatorInput.Proxied(event))),
+				metrics);
+		this.proxy.setLiveDaemons(() -> this.liveDaemons);
+	}
+
+	HostAddress start() throws ProxyStartException {
+		this.coordinatorDriver.start();
+		this.ownerDriver.start();
+		return this.proxy.start();
+	}
+
+	int active() {
+		return this.coordinator.active();
+	}
+
+	void apply(Manifest manifest) {
+		Set<ServiceName> removed = new HashSet<>(this.services);
+		for (Service service : manifest.services()) {
+			removed.remove(service.name());
+			this.services.add(service.name());
+			this.coordinatorDriver.handle(new CoordinatorInput.ServiceChanged(service));
+			this.ownerDriver.handle(new OwnerInput.ServiceChanged(service));
+		}
+		this.routing = manifest;
+		for (ServiceName service : removed) {
+			this.services.remove(service);
+			this.coordinatorDriver.handle(new CoordinatorInput.ServiceRemoved(service));
+			this.ownerDriver.handle(new OwnerInput.ServiceRemoved(service));
+		}
+	}
+
+	void membersChanged(Collection<Member> members, Ownership ownership) {
+		this.liveDaemons = Math.max(1, members.size());
+		Set<DaemonId> current = members.stream().map(Member::id).collect(Collectors.toSet());
+		for (DaemonId daemon : this.live) {
+			if (!current.contains(daemon)) {
+				this.ownerDriver.handle(new OwnerInput.DaemonDead(daemon));
+			}
+		}
+		this.live = current;
+		Manifest manifest = this.routing;
+		if (manifest == null) {
+			return;
+		}
+		this.ownerDriver.handle(new OwnerInput.DaemonsChanged(
+				members.stream().filter((member) -> member.region().equals(this.region)).map(Member::id).toList(),
+				declaredDaemons(manifest)));
+		Set<Region> regions = members.stream().map(Member::region).collect(Collectors.toSet());
+		for (ServiceName service : this.services) {
+			this.ownerDriver.handle(new OwnerInput.OwnersChanged(service, ranked(ownership, service, this.region)));
+			for (Region other : regions) {
+				this.coordinatorDriver
+					.handle(new CoordinatorInput.OwnersChanged(service, other, ranked(ownership, service, other)));
+			}
+		}
+	}
+
+	void resumed() {
+		this.ownerDriver.handle(new OwnerInput.Paused());
+	}
+
+	void judged(ServiceName service, List<ServerHealth> servers) {
+		this.ownerDriver.handle(new OwnerInput.HealthChanged(service,
+				servers.stream().map((server) -> new DispatchMessage.AdvisedServer(server, 0)).toList()));
+	}
+
+	void statesChanged(ServiceName service) {
+		this.coordinatorDriver.handle(new CoordinatorInput.HealthChanged(service, this.health.states(service)));
+	}
+
+	CompletableFuture<Void> drain() {
+		return this.proxy.drain();
+	}
+
+	@Override
+	public void close() {
+		this.proxy.close();
+		this.coordinatorDriver.stop();
+		this.ownerDriver.stop();
+	}
+
+	private void received(DaemonId sender, DispatchMessage message) {
+		if (message instanceof DispatchMessage.OutcomeReport report) {
+			this.health.reported(sender, report);
+		}
+		this.ownerDriver.handle(new OwnerInput.Received(sender, message));
+		this.coordinatorDriver.handle(new CoordinatorInput.Received(sender, message));
+	}
+
+	private void carryOutAsOwner(DispatchEffect effect) {
+		if (effect instanceof DispatchEffect.Observed observed) {
+			this.health.observed(observed.observation());
+		}
+		else {
+			carryOut(effect);
+		}
+	}
+
+	private void carryOutHere(DispatchEffect effect) {
+		if (effect instanceof DispatchEffect.Observed observed) {
+			this.health.observedHere(observed.observation());
+		}
+		else {
+			carryOut(effect);
+		}
+	}
+
+	private void carryOut(DispatchEffect effect) {
+		switch (effect) {
+			case DispatchEffect.Exchange exchange -> this.proxy.execute(exchange.command());
+			case DispatchEffect.Send send -> this.endpoint.send(send.receiver(), send.message());
+			case DispatchEffect.Advised advised ->
+				this.health.advised(advised.owner(), advised.service(), advised.servers());
+			case DispatchEffect.LeavingSeen seen -> this.health.leavingSeen(seen.service(), seen.server());
+			case DispatchEffect.Audit entry -> this.audit.accept(entry.entry());
+			case DispatchEffect.Logged logged -> this.log.log(logged.event(), logged.parameters().toArray());
+			case DispatchEffect.Observed _, DispatchEffect.Ended _ -> {
+				// Evidence is handled by the callers, and the proxy counts outcomes.
+			}
+		}
+	}
+
+	private int declaredDaemons(Manifest manifest) {
+		return manifest.daemons()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().region().equals(this.region))
+			.mapToInt((entry) -> entry.getValue())
+			.sum();
+	}
+
+	private static List<DaemonId> ranked(Ownership ownership, ServiceName service, Region region) {
+		return ownership.rank(service, region).stream().limit(RANKED_OWNERS).map(Member::id).toList();
+	}
+
+	private static ProxyConfiguration configuration(DaemonSettings settings) {
+		ProxyConfiguration defaults = ProxyConfiguration.defaults(settings.callers());
+		return new ProxyConfiguration(settings.callers(), settings.name(), settings.limits().callerConnections(),
+				defaults.limits(), defaults.timeouts());
+	}
+
+}
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetListener.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetListener.java
@@ -1,6 +1,9 @@
 package org.wigeonmast.daemon.internal;
 
+import java.util.List;
+
 import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.store.PlatformHost;
 
 /**
  * Takes changes of the fleet and of the manifest.
@@ -24,6 +27,12 @@
 	 */
 	void readinessChanged(boolean ready);
 
+	/**
+	 * The host list was read.
+	 * @param hosts the hosts
+	 */
+	void hostsRead(List<PlatformHost> hosts);
+
 	/** The process was paused and resumed. */
 	void resumed();
 
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
@@ -226,7 +226,7 @@
 	private void hostsRead(List<PlatformHost> read) {
 		this.hosts = List.copyOf(read);
 		seedsChanged();
-		this.listener.membersChanged();
+		this.listener.hostsRead(this.hosts);
 	}
 
 	private void seedsChanged() {
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/PeerMessenger.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/PeerMessenger.java
@@ -41,6 +41,8 @@
 
 	private final Sender self;
 
+	private boolean started;
+
 	/**
 	 * Opens the links.
 	 * @param control the control thread
@@ -54,6 +56,14 @@
 		this.self = new Sender(settings.self(), this.links.address());
 	}
 
+	/**
+	 * Starts to deliver messages; earlier ones are dropped, because the components were
+	 * not complete.
+	 */
+	public void start() {
+		this.started = true;
+	}
+
 	/**
 	 * Returns where this daemon accepts links.
 	 * @return the address
@@ -100,7 +110,7 @@
 
 	private void receive(Sender from, Slice slice, byte[] content) {
 		Endpoint<?> endpoint = this.endpoints.get(slice);
-		if (endpoint != null) {
+		if (endpoint != null && this.started) {
 			endpoint.receive(from, content);
 		}
 	}
--- a/wigeonmast-verification/src/test/java/org/wigeonmast/verification/LoopbackFleet.java
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/LoopbackFleet.java
@@ -13,6 +13,7 @@
 import org.wigeonmast.cli.standin.StandInBackendServer;
 import org.wigeonmast.cli.standin.StandInPlatform;
 import org.wigeonmast.cli.standin.WorkProfile;
+import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.Region;
@@ -108,6 +109,10 @@
 		await(() -> this.daemons.stream().allMatch(Daemon::isReady), "all daemons are ready");
 	}
 
+	boolean isEjected(String server) {
+		return this.daemons.stream().anyMatch((daemon) -> daemon.isEjected(new BackendServerId(server)));
+	}
+
 	String url(int daemon, String path) {
 		return "http://" + this.addresses.get(daemon).callers() + path;
 	}
--- a/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/NettyPeerLinks.java
+++ b/wigeonmast-wire/src/main/java/org/wigeonmast/wire/internal/NettyPeerLinks.java
@@ -59,9 +59,12 @@
 	private final Channel server;
 
 	private NettyPeerLinks(LinkSettings settings, MessageListener listener) throws LinkListenerException {
-		this.settings = settings;
 		this.listener = listener;
-		this.server = bind();
+		this.server = bind(settings.address());
+		InetSocketAddress bound = (InetSocketAddress) this.server.localAddress();
+		// Peers reply to the announced address, which must not have port 0.
+		this.settings = new LinkSettings(settings.self(),
+				new HostAddress(settings.address().address(), bound.getPort()), settings.key());
 	}
 
 	/**
@@ -79,8 +82,7 @@
 
 	@Override
 	public HostAddress address() {
-		InetSocketAddress bound = (InetSocketAddress) this.server.localAddress();
-		return new HostAddress(this.settings.address().address(), bound.getPort());
+		return this.settings.address();
 	}
 
 	@Override
@@ -107,8 +109,7 @@
 		this.eventLoops.shutdownGracefully(0, CLOSE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
 	}
 
-	private Channel bind() throws LinkListenerException {
-		HostAddress address = this.settings.address();
+	private Channel bind(HostAddress address) throws LinkListenerException {
 		ChannelFuture future = new ServerBootstrap().group(this.eventLoops)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
--- a/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
+++ b/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
@@ -33,7 +33,7 @@
 	private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
 
 	private final PeerLinks receiver = open("receiver", KEY, 0,
-			(from, address, slice, content) -> this.received.add(new Received(from, slice, content)));
+			(from, address, slice, content) -> this.received.add(new Received(from, address, slice, content)));
 
 	private final PeerLinks sender = open("sender", KEY, 0, (from, address, slice, content) -> {
 	});
@@ -57,6 +57,7 @@
 		for (int index = 0; index < 100; index++) {
 			Received message = next();
 			assertThat(message.from).isEqualTo(new DaemonId("sender", 7));
+			assertThat(message.address).isEqualTo(this.sender.address());
 			assertThat(message.slice).isEqualTo(Slice.MEMBERSHIP);
 			assertThat(message.content).isEqualTo(new byte[] { (byte) index });
 		}
@@ -129,7 +130,7 @@
 	private PeerLinks tryOpen(int port) {
 		try {
 			return open("receiver", KEY, port,
-					(from, address, slice, content) -> this.received.add(new Received(from, slice, content)));
+					(from, address, slice, content) -> this.received.add(new Received(from, address, slice, content)));
 		}
 		catch (LinkListenerException exception) {
 			return null;
@@ -156,7 +157,7 @@
 		return PeerLinks.open(new LinkSettings(new DaemonId(name, 7), new HostAddress(LOOPBACK, port), key), listener);
 	}
 
-	private record Received(DaemonId from, Slice slice, byte[] content) {
+	private record Received(DaemonId from, HostAddress address, Slice slice, byte[] content) {
 	}
 
 }
