--- /dev/null
+++ b/wigeonmast-admin/src/main/java/org/wigeonmast/admin/AdminServer.java
@@ -0,0 +1,73 @@
+package org.wigeonmast.admin;
+
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.Server;
+import io.jooby.ServerOptions;
+import io.jooby.netty.NettyServer;
+import org.wigeonmast.admin.internal.AdminApplication;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.HostAddress;
+
+/**
+ * The operators' interface of a daemon over HTTP.
+ * <p>
+ * Thread safety: usable from any thread. Invariants: it only reads; its threads wait for
+ * the control thread, never the other way round, and for a bounded time.
+ */
+public final class AdminServer implements AutoCloseable {
+
+	private static final int GREATEST_REQUEST = 8 * 1024;
+
+	private static final int WORKERS = 4;
+
+	private final EventLog log = new EventLog(AdminServer.class);
+
+	private final HostAddress address;
+
+	private final Server server;
+
+	/**
+	 * Starts the interface.
+	 * @param address where to listen; with port 0 a free port is chosen
+	 * @param sources where the answers come from
+	 * @throws AdminStartException if the address cannot be used
+	 */
+	public AdminServer(HostAddress address, AdminSources sources) throws AdminStartException {
+		ServerOptions options = new ServerOptions();
+		options.setHost(address.address());
+		options.setPort(address.port());
+		options.setIoThreads(1);
+		options.setWorkerThreads(WORKERS);
+		options.setMaxRequestSize(GREATEST_REQUEST);
+		options.setDefaultHeaders(false);
+		Jooby application = new AdminApplication(sources);
+		application.setExecutionMode(ExecutionMode.WORKER);
+		this.server = new NettyServer().setOptions(options);
+		try {
+			this.server.start(application);
+		}
+		catch (Exception exception) {
+			// Jooby throws checked exceptions, such as BindException, without declaring
+			// them.
+			this.server.stop();
+			throw new AdminStartException(address, exception);
+		}
+		this.address = new HostAddress(address.address(), options.getPort());
+		this.log.log(AdminEvent.LISTENING, this.address);
+	}
+
+	/**
+	 * Returns where the interface listens.
+	 * @return the address
+	 */
+	public HostAddress address() {
+		return this.address;
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-admin/src/main/java/org/wigeonmast/admin/internal/AdminApplication.java
@@ -0,0 +1,142 @@
+package org.wigeonmast.admin.internal;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.StatusCode;
+import org.wigeonmast.admin.AdminEvent;
+import org.wigeonmast.admin.AdminSources;
+import org.wigeonmast.admin.AuditRecord;
+import org.wigeonmast.admin.Readiness;
+import org.wigeonmast.admin.ServerExplanation;
+import org.wigeonmast.core.EventLog;
+
+/**
+ * The routes of the operators' interface.
+ * <p>
+ * Thread safety: as {@link Jooby}; handlers run on worker threads. Invariant: a handler
+ * waits at most {@link #CONTROL_TIMEOUT} for the control thread.
+ */
+public final class AdminApplication extends Jooby {
+
+	/** Time in milliseconds that a handler waits for the control thread. */
+	static final long CONTROL_TIMEOUT = 2_000;
+
+	/** Greatest number of audit entries in one answer. */
+	static final int GREATEST_AUDIT_ANSWER = 1_000;
+
+	private static final String NO_NUMBER = "0";
+
+	private final EventLog log = new EventLog(AdminApplication.class);
+
+	private final AdminSources sources;
+
+	/**
+	 * Creates the application.
+	 * @param sources where the answers come from
+	 */
+	public AdminApplication(AdminSources sources) {
+		this.sources = sources;
+		get("/ready", this::ready);
+		get("/status", this::status);
+		get("/explain/{host}", this::explain);
+		get("/audit", this::audit);
+		get("/metrics", this::metrics);
+		error((context, cause, code) -> fail(context, code, String.valueOf(cause.getMessage())));
+	}
+
+	private Context ready(Context context) throws JsonProcessingException {
+		Readiness readiness = this.sources.readiness().readiness();
+		return json(context, readiness.ready() ? StatusCode.OK : StatusCode.SERVICE_UNAVAILABLE, readiness);
+	}
+
+	private Context status(Context context) throws Exception {
+		return answerLater(context, this.sources.status().status());
+	}
+
+	private Context explain(Context context) throws Exception {
+		String host = context.path("host").value();
+		CompletableFuture<List<ServerExplanation>> answer = this.sources.explanation().explain(host);
+		if (await(context, answer) && answer.join().isEmpty()) {
+			return fail(context, StatusCode.NOT_FOUND, "no backend server has the identifier or address " + host);
+		}
+		return answerLater(context, answer);
+	}
+
+	private Context audit(Context context) throws JsonProcessingException {
+		String since = context.query("since").value(NO_NUMBER);
+		try {
+			long number = Long.parseLong(since);
+			List<AuditRecord> records = this.sources.audit().since(number, GREATEST_AUDIT_ANSWER);
+			return json(context, StatusCode.OK, records);
+		}
+		catch (NumberFormatException exception) {
+			return fail(context, StatusCode.BAD_REQUEST,
+					"since must be the number of an audit entry, not '" + since + "'");
+		}
+	}
+
+	private Context metrics(Context context) {
+		context.setResponseType(MediaType.valueOf(PrometheusText.MEDIA_TYPE));
+		return context.send(PrometheusText.of(this.sources.metrics()));
+	}
+
+	private Context answerLater(Context context, CompletableFuture<?> answer) throws Exception {
+		if (await(context, answer)) {
+			return json(context, StatusCode.OK, answer.join());
+		}
+		return fail(context, StatusCode.GATEWAY_TIMEOUT,
+				"the control thread did not answer within " + CONTROL_TIMEOUT + " ms");
+	}
+
+	private boolean await(Context context, CompletableFuture<?> answer) throws ExecutionException {
+		try {
+			answer.get(CONTROL_TIMEOUT, TimeUnit.MILLISECONDS);
+			return true;
+		}
+		catch (TimeoutException exception) {
+			this.log.log(AdminEvent.CONTROL_THREAD_SLOW, context.getRequestPath(), CONTROL_TIMEOUT);
+			return false;
+		}
+		catch (InterruptedException exception) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	private Context fail(Context context, StatusCode code, String detail) {
+		if (code.value() >= StatusCode.SERVER_ERROR.value()) {
+			this.log.log(AdminEvent.REQUEST_FAILED, context.getRequestPath(), detail);
+		}
+		try {
+			return json(context, code, new Problem(code.value(), detail));
+		}
+		catch (JsonProcessingException exception) {
+			return context.send(code);
+		}
+	}
+
+	private static Context json(Context context, StatusCode code, Object answer) throws JsonProcessingException {
+		byte[] document = AdminJson.write(answer);
+		context.setResponseCode(code);
+		context.setResponseType(MediaType.json);
+		return context.send(document);
+	}
+
+	/**
+	 * Why a request got no answer.
+	 *
+	 * @param status the HTTP status
+	 * @param detail what went wrong
+	 */
+	record Problem(int status, String detail) {
+	}
+
+}
