--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsKeys.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsKeys.java
@@ -61,7 +61,7 @@
 	public static final SettingsKey<SharedKey> SHARED_KEY = key("peers", "shared-key", new SharedKeyType(), null);
 
 	/** Address for operators. */
-	public static final SettingsKey<String> ADMIN_ADDRESS = key("admin", "address", new AddressType(true), "127.0.0.1");
+	public static final SettingsKey<String> ADMIN_ADDRESS = key("admin", "address", new AddressType(true), null);
 
 	/** Port for operators. */
 	public static final SettingsKey<Long> ADMIN_PORT = key("admin", "port", NumberType.port(), null);
--- a/wigeonmast-settings/src/test/java/org/wigeonmast/settings/SettingsReaderTests.java
+++ b/wigeonmast-settings/src/test/java/org/wigeonmast/settings/SettingsReaderTests.java
@@ -24,6 +24,7 @@
 			seeds = 10.0.0.5:7400, [fd00::6]:7400 ; the first two hosts
 			shared-key = MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=
 			[admin]
+			address = 127.0.0.1
 			port = 8081
 			[store]
 			base-url = http://10.0.0.9:9000/
