--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/path/ImmediateDispatch.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/path/ImmediateDispatch.java
@@ -27,10 +27,19 @@
 
 	private final BackendServer server;
 
+	private final boolean inline;
+
 	private @Nullable Consumer<ExchangeCommand> commands;
 
-	ImmediateDispatch(BackendServer server) {
+	/**
+	 * Creates a dispatch.
+	 * @param server the server
+	 * @param inline whether to decide on the traffic thread, which shows what the two
+	 * changes of thread cost
+	 */
+	ImmediateDispatch(BackendServer server, boolean inline) {
 		this.server = server;
+		this.inline = inline;
 	}
 
 	/**
@@ -43,7 +52,12 @@
 
 	@Override
 	public void accept(RequestEvent event) {
-		this.control.execute(() -> handle(event));
+		if (this.inline) {
+			handle(event);
+		}
+		else {
+			this.control.execute(() -> handle(event));
+		}
 	}
 
 	private void handle(RequestEvent event) {
--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/path/ThreadUsage.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/path/ThreadUsage.java
@@ -1,5 +1,6 @@
 package org.wigeonmast.bench.path;
 
+import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
 import java.util.Arrays;
 
@@ -15,6 +16,10 @@
  */
 record ThreadUsage(long nanoseconds, long bytes) {
 
+	private static final double NANOSECONDS_PER_MICROSECOND = 1e3;
+
+	private static final double NANOSECONDS_PER_SECOND = 1e9;
+
 	private static final String TRAFFIC = "wigeonmast-traffic";
 
 	/**
@@ -41,4 +46,24 @@
 		return new ThreadUsage(this.nanoseconds - earlier.nanoseconds, this.bytes - earlier.bytes);
 	}
 
+	/**
+	 * Returns the sum with another usage.
+	 * @param other the other usage
+	 * @return the sum
+	 */
+	ThreadUsage plus(ThreadUsage other) {
+		return new ThreadUsage(this.nanoseconds + other.nanoseconds, this.bytes + other.bytes);
+	}
+
+	/**
+	 * Prints the usage per request.
+	 * @param out where to print
+	 * @param requests the number of requests
+	 */
+	void print(PrintStream out, long requests) {
+		out.printf("  %.1f us of processor time and %.0f allocated bytes per request, %.0f requests/s per core%n",
+				this.nanoseconds / NANOSECONDS_PER_MICROSECOND / requests, (double) this.bytes / requests,
+				requests * NANOSECONDS_PER_SECOND / this.nanoseconds);
+	}
+
 }
