Leave out the wait behind earlier requests when work is compared

Cause: with one slot held by long work, short work of a healthy server waits, and the waiting requests counted as independent slow ones.

--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/detection/MonitorPolicy.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/detection/MonitorPolicy.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
+import org.wigeonmast.core.AuditEntry;
 import org.wigeonmast.core.AuditKind;
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.Component;
@@ -16,6 +18,7 @@
 import org.wigeonmast.core.Region;
 import org.wigeonmast.health.EjectionView;
 import org.wigeonmast.health.HealthEffect;
+import org.wigeonmast.health.HealthEvent;
 import org.wigeonmast.health.HealthInput;
 import org.wigeonmast.health.HealthMessage;
 import org.wigeonmast.health.HealthMonitor;
@@ -61,6 +64,10 @@
 
 	private Set<Integer> reporting = Set.of();
 
+	/** Takes the audit entries. */
+	private Consumer<AuditEntry> log = (entry) -> {
+	};
+
 	private int ejections;
 
 	private int denials;
@@ -92,6 +99,14 @@
 		this.monitor.handle(0, new HealthInput.VotersChanged(voters));
 	}
 
+	/**
+	 * Sets what takes the audit entries.
+	 * @param consumer the consumer
+	 */
+	void log(Consumer<AuditEntry> consumer) {
+		this.log = consumer;
+	}
+
 	@Override
 	public void ended(long now, int daemon, int server, Observation observation) {
 		this.unreported.add(new Ended(now, observation));
@@ -188,7 +203,10 @@
 				case HealthEffect.Broadcast(HealthMessage message) ->
 					this.daemons.forEach((daemon) -> send(number, daemon.id, message));
 				case HealthEffect.Judged judged -> judged.servers().forEach(this::weigh);
-				case HealthEffect.Recorded recorded -> count(recorded.entry().kind());
+				case HealthEffect.Recorded(HealthEvent _, AuditEntry entry) -> {
+					count(entry.kind());
+					this.log.accept(entry);
+				}
 				case HealthEffect.Probe probe ->
 					this.queue.schedule(25 * EventQueue.MICROSECONDS_PER_MILLISECOND, () -> perform(0, this.monitor
 						.handle(this.queue.milliseconds(), new HealthInput.ProbeEnded(probe.server(), true))));
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
@@ -167,14 +167,14 @@
 		while (due < this.pending.size() && this.pending.get(due).end <= now - REORDERING) {
 			due++;
 		}
-		List<Result> results = this.pending.subList(0, due);
-		for (Result result : results) {
+		for (int index = 0; index < due; index++) {
+			Result result = this.pending.get(index);
 			ServerEvidence evidence = this.servers.get(result.observation.server());
 			if (evidence != null) {
-				count(result, evidence);
+				count(index, result, evidence);
 			}
 		}
-		results.clear();
+		this.pending.subList(0, due).clear();
 		for (PeerDurations durations : this.peers) {
 			durations.refresh();
 		}
@@ -208,17 +208,17 @@
 		return strongest;
 	}
 
-	private void count(Result result, ServerEvidence evidence) {
+	private void count(int index, Result result, ServerEvidence evidence) {
 		Observation observation = result.observation;
 		WorkClass workClass = observation.workClass();
 		DaemonId observer = observation.observer();
-		long start = result.end - observation.duration();
+		long start = result.start();
 		evidence.finished(observer, workClass, start);
 		switch (observation.result()) {
 			case SUCCEEDED, FAILED -> {
 				evidence.paths.answered(result.end, observer);
 				countAnswer(evidence, workClass, observation.result() == Observation.Result.FAILED,
-						result.end - evidence.serviceStart(start));
+						result.end - evidence.serviceStart(start, heldSlots(index, result, evidence)));
 				evidence.answered(result.end);
 			}
 			case TIMED_OUT, CONNECTION_FAILED -> {
@@ -231,6 +231,24 @@
 		}
 	}
 
+	/**
+	 * Returns how many requests were sent before one and ended after it.
+	 * @param index the position of its result
+	 * @param result its result
+	 * @param evidence the evidence about its server
+	 * @return the number, as far as reported
+	 */
+	private int heldSlots(int index, Result result, ServerEvidence evidence) {
+		int held = evidence.runningSince(result.start());
+		for (Result later : this.pending.subList(index + 1, this.pending.size())) {
+			if (later.start() < result.start() && later.observation.server().equals(result.observation.server())
+					&& !evidence.reported(later.observation.observer(), later.start())) {
+				held++;
+			}
+		}
+		return held;
+	}
+
 	private void countAnswer(ServerEvidence server, WorkClass workClass, boolean failed, long duration) {
 		PeerDurations durations = this.peers[workClass.ordinal()];
 		ClassEvidence evidence = server.of(workClass);
@@ -276,10 +294,11 @@
 		// Only as many requests as there are slots can run; the others wait behind them.
 		server.running.sort(Comparator.comparingLong(ServerEvidence.Running::start));
 		int counted = Math.min(server.slots(), server.running.size());
-		for (ServerEvidence.Running request : server.running.subList(0, counted)) {
+		for (int held = 0; held < counted; held++) {
+			ServerEvidence.Running request = server.running.get(held);
 			PeerDurations durations = this.peers[request.workClass().ordinal()];
 			ClassEvidence evidence = server.of(request.workClass());
-			long elapsed = request.reported() - server.serviceStart(request.start());
+			long elapsed = request.reported() - server.serviceStart(request.start(), held);
 			double rank = durations.rank(evidence, elapsed);
 			if (rank >= 0) {
 				evidence.running += Scores.running(rank, Math.max(1, elapsed / durations.tail));
@@ -331,6 +350,11 @@
 	}
 
 	private record Result(long end, Observation observation) {
+
+		private long start() {
+			return this.end - this.observation.duration();
+		}
+
 	}
 
 	/** The work of one class over all servers. */
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/ServerEvidence.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/ServerEvidence.java
@@ -56,13 +56,38 @@
 	}
 
 	/**
-	 * Returns when a slot was free for a request at the latest: with s slots, the server
-	 * has finished s requests since it started to run this one.
+	 * Returns a time at which a request had not begun to run later than this: the slots
+	 * that earlier requests still hold did not serve it, and each of the others ended one
+	 * of the latest answers before.
 	 * @param start when the request was sent
+	 * @param held the number of slots that requests sent earlier still hold
 	 * @return the time
 	 */
-	long serviceStart(long start) {
-		return Math.max(start, this.ends[this.cursor]);
+	long serviceStart(long start, int held) {
+		int newer = Math.min(held, this.ends.length - 1);
+		return Math.max(start, this.ends[(this.cursor + newer) % this.ends.length]);
+	}
+
+	/**
+	 * Returns how many requests were sent earlier and still run, as far as reported.
+	 * @param start when the request was sent
+	 * @return the number
+	 */
+	int runningSince(long start) {
+		int count = 0;
+		for (Running request : this.running) {
+			count += (request.start < start) ? 1 : 0;
+		}
+		return count;
+	}
+
+	boolean reported(DaemonId observer, long start) {
+		for (Running request : this.running) {
+			if (Math.abs(request.start - start) <= MATCH && request.observer.equals(observer)) {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	void answered(long end) {
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/ServerJudgement.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/ServerJudgement.java
@@ -40,7 +40,7 @@
 	public static final long FORGIVEN = 600_000;
 
 	/** Share of the threshold that suffices against a server that was ejected before. */
-	private static final double REPEATED = 0.7;
+	private static final double REPEATED = 1;
 
 	/** Weights are rounded to this part, so that a ramp causes few changes. */
 	private static final double WEIGHT_STEPS = 10;
