Schedule the first tick of a component whose timer lies before the clock's origin

The delay to Long.MIN_VALUE overflowed, so health monitors never ticked and no server was ejected. Seen in SeveralDaemonsTests: 2,999 failures observed in 30 s and no suspicion; after the change the failing server is ejected.

--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
@@ -78,7 +78,9 @@
 		long next = this.component.nextTick();
 		if (next < this.scheduledTick) {
 			this.scheduledTick = next;
-			long delay = Math.max(0, next - this.control.clock().milliseconds());
+			long now = this.control.clock().milliseconds();
+			// The earliest possible time must not overflow into a delay of ages.
+			long delay = (next <= now) ? 0 : next - now;
 			this.control.schedule(delay, () -> {
 				if (this.scheduledTick == next) {
 					tick();
--- /dev/null
+++ b/wigeonmast-daemon/src/test/java/org/wigeonmast/daemon/internal/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the assembly of a daemon.
+ */
+@NullMarked
+package org.wigeonmast.daemon.internal;
+
+import org.jspecify.annotations.NullMarked;
