--- a/wigeonmast-admin/src/main/java/org/wigeonmast/admin/AdminServer.java
+++ b/wigeonmast-admin/src/main/java/org/wigeonmast/admin/AdminServer.java
@@ -1,9 +1,12 @@
 package org.wigeonmast.admin;
 
+import java.util.List;
+
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.Server;
 import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
 import io.jooby.netty.NettyServer;
 import org.wigeonmast.admin.internal.AdminApplication;
 import org.wigeonmast.core.EventLog;
@@ -43,6 +46,7 @@
 		options.setDefaultHeaders(false);
 		Jooby application = new AdminApplication(sources);
 		application.setExecutionMode(ExecutionMode.WORKER);
+		application.setStartupSummary(List.of(StartupSummary.NONE));
 		this.server = new NettyServer().setOptions(options);
 		try {
 			this.server.start(application);
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/ExplainCommand.java
@@ -0,0 +1,123 @@
+package org.wigeonmast.cli;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.wigeonmast.admin.AuditRecord;
+import org.wigeonmast.admin.ServerExplanation;
+import org.wigeonmast.cli.internal.Fleet;
+import org.wigeonmast.cli.internal.Table;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.Step;
+
+/**
+ * Prints on one screen what every daemon thinks of a backend server and why.
+ * <p>
+ * Thread safety: none; one thread sets it up and calls it.
+ */
+public final class ExplainCommand implements Command {
+
+	private static final int HISTORY_SHOWN = 6;
+
+	private static final int NAMES_SHOWN = 6;
+
+	private final List<HostAddress> admins = new ArrayList<>();
+
+	private final PrintStream out;
+
+	private final PrintStream errors;
+
+	private String host = "";
+
+	/**
+	 * Creates a command.
+	 * @param out where the explanation is printed
+	 * @param errors where errors are printed
+	 */
+	public ExplainCommand(PrintStream out, PrintStream errors) {
+		this.out = out;
+		this.errors = errors;
+	}
+
+	/**
+	 * Sets the backend server.
+	 * @param newHost its identifier, its address with port, or the IP address of its host
+	 * @return this
+	 */
+	public ExplainCommand setHost(String newHost) {
+		this.host = newHost;
+		return this;
+	}
+
+	/**
+	 * Adds a daemon to ask.
+	 * @param admin its operators' address; if it is the only one, the others are found
+	 * from its status
+	 * @return this
+	 */
+	public ExplainCommand addAdmin(HostAddress admin) {
+		this.admins.add(admin);
+		return this;
+	}
+
+	@Override
+	public int call() throws CommandException, InterruptedException {
+		Fleet fleet = new Fleet(this.admins);
+		Map<String, List<ServerExplanation>> byServer = fleet
+			.askAll((client, admin) -> client.explain(admin, this.host))
+			.values()
+			.stream()
+			.flatMap(List::stream)
+			.collect(Collectors.groupingBy(ServerExplanation::server, LinkedHashMap::new, Collectors.toList()));
+		byServer.values().forEach(this::print);
+		fleet.failures().forEach((failure) -> this.errors.println(Main.NAME + ": " + failure.getMessage()));
+		if (byServer.isEmpty()) {
+			throw new CommandException(ExitStatus.NO_HOST, Step.ADMIN, this.host,
+					"no daemon knows a backend server with this identifier or address; see the manifest in force",
+					null);
+		}
+		return fleet.failures().isEmpty() ? ExitStatus.OK : ExitStatus.PARTIAL;
+	}
+
+	private void print(List<ServerExplanation> explanations) {
+		ServerExplanation first = explanations.getFirst();
+		this.out.println(Table
+			.clean("backend server " + first.server() + " at " + first.address() + ", service " + first.service()));
+		Table table = new Table("STATE", "WEIGHT", "OWNER", "DAEMONS", "NAMES");
+		explanations.stream()
+			.collect(Collectors.groupingBy((explanation) -> List.of(explanation.state(),
+					"%.2f".formatted(explanation.weight()), explanation.owner()), LinkedHashMap::new,
+					Collectors.toList()))
+			.forEach((view, agreeing) -> table.add(view.get(0), view.get(1), view.get(2), agreeing.size(),
+					names(agreeing)));
+		this.out.print(table);
+		ServerExplanation decisive = explanations.stream()
+			.filter((explanation) -> explanation.daemon().equals(explanation.owner()))
+			.findFirst()
+			.orElse(first);
+		this.out.println(Table.clean(decisive.daemon() + ": " + decisive.summary()));
+		decisive.evidence().forEach((name, value) -> this.out.println(Table.clean("  " + name + ": " + value)));
+		printHistory(decisive.history());
+		this.out.println();
+	}
+
+	private void printHistory(List<AuditRecord> history) {
+		int start = Math.max(0, history.size() - HISTORY_SHOWN);
+		for (AuditRecord entry : history.subList(start, history.size())) {
+			this.out.println(AuditCommand.line(entry));
+		}
+	}
+
+	private static String names(List<ServerExplanation> explanations) {
+		String names = explanations.stream()
+			.limit(NAMES_SHOWN)
+			.map(ServerExplanation::daemon)
+			.collect(Collectors.joining(" "));
+		return (explanations.size() > NAMES_SHOWN) ? names + " ..." : names;
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/internal/ManifestDirectory.java
@@ -0,0 +1,95 @@
+package org.wigeonmast.cli.internal;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+import io.vavr.control.Either;
+import org.wigeonmast.cli.standin.PublishedManifest;
+import org.wigeonmast.manifest.JsonManifestChecker;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.ManifestIndex;
+import org.wigeonmast.manifest.ManifestPart;
+
+/**
+ * Reads a manifest from files: {@code index.json} and {@code parts/HASH} as in the store,
+ * or parts only, each in a file whose name ends with {@code .json}.
+ * <p>
+ * Thread safety: stateless.
+ */
+public final class ManifestDirectory {
+
+	private static final String INDEX = "index.json";
+
+	private static final String PARTS = "parts";
+
+	private static final String JSON = ".json";
+
+	/** More than the store's limit, so that a larger file is reported as too large. */
+	private static final int GREATEST_READ = 1_000_001;
+
+	private ManifestDirectory() {
+	}
+
+	/**
+	 * Reads and checks the manifest in a directory.
+	 * @param directory the directory
+	 * @return the manifest, or every error found
+	 * @throws IOException if a file cannot be read
+	 */
+	public static Either<List<String>, Manifest> read(Path directory) throws IOException {
+		if (!Files.exists(directory.resolve(INDEX))) {
+			try (Stream<Path> files = Files.list(directory)) {
+				return checkParts(files.filter((file) -> file.toString().endsWith(JSON)).sorted().toList());
+			}
+		}
+		JsonManifestChecker checker = new JsonManifestChecker();
+		Either<List<String>, ManifestIndex> index = checker.readIndex(readFile(directory.resolve(INDEX)));
+		if (index.isLeft()) {
+			return Either.left(index.getLeft());
+		}
+		Map<String, byte[]> parts = new HashMap<>();
+		for (ManifestPart part : index.get().parts()) {
+			Path file = directory.resolve(PARTS).resolve(part.hash());
+			if (Files.exists(file)) {
+				parts.put(part.hash(), readFile(file));
+			}
+		}
+		return checker.check(index.get(), parts);
+	}
+
+	/**
+	 * Reads and checks a file as the only part of a manifest.
+	 * @param file the file
+	 * @return the manifest, or every error found
+	 * @throws IOException if the file cannot be read
+	 */
+	public static Either<List<String>, Manifest> readPart(Path file) throws IOException {
+		return checkParts(List.of(file));
+	}
+
+	private static Either<List<String>, Manifest> checkParts(List<Path> files) throws IOException {
+		Map<String, byte[]> parts = new TreeMap<>();
+		for (Path file : files) {
+			String name = file.getFileName().toString();
+			parts.put(name.substring(0, name.length() - JSON.length()), readFile(file));
+		}
+		PublishedManifest published = PublishedManifest.ofBytes(1, parts);
+		JsonManifestChecker checker = new JsonManifestChecker();
+		return checker.readIndex(published.index())
+			.flatMap((index) -> checker.check(index, new HashMap<>(published.parts())));
+	}
+
+	private static byte[] readFile(Path file) throws IOException {
+		try (InputStream stream = Files.newInputStream(file)) {
+			return stream.readNBytes(GREATEST_READ);
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/internal/Table.java
@@ -0,0 +1,63 @@
+package org.wigeonmast.cli.internal;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Text in columns.
+ * <p>
+ * Thread safety: none. Invariant: control characters of the values are replaced, since
+ * values can come from a hostile peer.
+ */
+public final class Table {
+
+	private static final String GAP = "  ";
+
+	private final List<String[]> rows = new ArrayList<>();
+
+	/**
+	 * Creates a table.
+	 * @param headings the headings of the columns
+	 */
+	public Table(String... headings) {
+		this.rows.add(headings);
+	}
+
+	/**
+	 * Adds a row.
+	 * @param values a value for each column
+	 */
+	public void add(Object... values) {
+		this.rows.add(Arrays.stream(values).map((value) -> clean(String.valueOf(value))).toArray(String[]::new));
+	}
+
+	/**
+	 * Replaces the control characters of a text.
+	 * @param text the text
+	 * @return the text without control characters
+	 */
+	public static String clean(String text) {
+		return text.replaceAll("\\p{Cntrl}", "?");
+	}
+
+	@Override
+	public String toString() {
+		int[] widths = new int[this.rows.getFirst().length];
+		for (String[] row : this.rows) {
+			for (int i = 0; i < widths.length; i++) {
+				widths[i] = Math.max(widths[i], row[i].length());
+			}
+		}
+		StringBuilder text = new StringBuilder();
+		for (String[] row : this.rows) {
+			StringBuilder line = new StringBuilder();
+			for (int i = 0; i < widths.length; i++) {
+				line.append(row[i]).append(" ".repeat(widths[i] - row[i].length())).append(GAP);
+			}
+			text.append(line.toString().stripTrailing()).append('\n');
+		}
+		return text.toString();
+	}
+
+}
--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/PublishedManifest.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/PublishedManifest.java
@@ -28,11 +28,22 @@
 	 * @return the documents
 	 */
 	public static PublishedManifest of(long version, Map<String, String> partsByName) {
+		Map<String, byte[]> bytes = new LinkedHashMap<>();
+		partsByName.forEach((name, text) -> bytes.put(name, text.getBytes(StandardCharsets.UTF_8)));
+		return ofBytes(version, bytes);
+	}
+
+	/**
+	 * Builds the index for parts.
+	 * @param version the version
+	 * @param partsByName the bytes of the parts by name
+	 * @return the documents
+	 */
+	public static PublishedManifest ofBytes(long version, Map<String, byte[]> partsByName) {
 		ObjectNode index = JsonNodeFactory.instance.objectNode().put("version", version);
 		ArrayNode entries = index.putArray("parts");
 		Map<String, byte[]> parts = new LinkedHashMap<>();
-		partsByName.forEach((name, text) -> {
-			byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+		partsByName.forEach((name, bytes) -> {
 			String hash = sha256(bytes);
 			parts.put(hash, bytes);
 			entries.addObject().put("name", name).put("sha256", hash).put("size", bytes.length);
