Deliver responses that were complete before their connection closed

Netty's FlowControlHandler drops queued messages when a channel becomes inactive. A response of a server that closes the connection after it was cut short for callers that read slowly. A queue of our own delivers what arrived before the end. A malformed pipelined request no longer takes the answer of the request before it.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -183,6 +183,7 @@
 	/** Continues to read the request body after the server has taken some of it. */
 	void backendWritable() {
 		this.exchange.bodyWanted();
+		flushBody();
 	}
 
 	/**
@@ -304,6 +305,7 @@
 		if (this.paused) {
 			this.paused = false;
 			ask();
+			readComplete();
 		}
 	}
 
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
@@ -24,14 +24,16 @@
 	private final BackendResponseDecoder decoder;
 
 	private final ChannelFutureListener writeListener = (future) -> {
-		if (!future.isSuccess()) {
+		// A connection that closed may still hold the response; its end is reported after
+		// it.
+		if (!future.isSuccess() && isActive()) {
 			fail("Writing failed: " + future.cause());
 		}
 	};
 
 	private @Nullable ChannelHandlerContext context;
 
-	private @Nullable MessageReader reader;
+	private @Nullable MessageQueue messages;
 
 	private @Nullable Attempt attempt;
 
@@ -70,8 +72,8 @@
 
 	/** Asks for the next message of the server. */
 	void ask() {
-		if (this.reader != null) {
-			this.reader.ask();
+		if (this.messages != null) {
+			this.messages.ask();
 		}
 	}
 
@@ -84,6 +86,9 @@
 	}
 
 	void close() {
+		if (this.messages != null) {
+			this.messages.close();
+		}
 		channel().close();
 	}
 
@@ -106,28 +111,28 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
-		this.reader = new MessageReader(added);
+		this.messages = new MessageQueue(added, this::received, this::fail);
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext from, Object message) {
-		if (this.reader != null) {
-			this.reader.received();
+		if (this.messages != null) {
+			this.messages.add(message);
 		}
+	}
+
+	private void received(HttpObject message) {
 		if (this.attempt == null) {
 			ReferenceCountUtil.release(message);
 			LOG.log(ProxyEvent.UNSOLICITED_BYTES, channel().remoteAddress());
 			close();
 			return;
 		}
-		this.attempt.received((HttpObject) message);
+		this.attempt.received(message);
 	}
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext from) {
-		if (this.reader != null) {
-			this.reader.readComplete();
-		}
 		if (this.attempt != null) {
 			this.attempt.readComplete();
 		}
@@ -142,13 +147,20 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext from) {
-		fail("The server closed the connection");
+		end("The server closed the connection");
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext from, Throwable cause) {
-		fail("The connection broke: " + cause);
-		close();
+		// Bytes that a closed connection makes up for its end come after this.
+		end("The connection broke: " + cause);
+		from.close();
+	}
+
+	private void end(String reason) {
+		if (this.messages != null) {
+			this.messages.end(reason);
+		}
 	}
 
 	private void fail(String reason) {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
@@ -19,7 +19,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.NetUtil;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.EventLog;
@@ -219,8 +218,7 @@
 
 		@Override
 		protected void initChannel(SocketChannel channel) {
-			channel.pipeline()
-				.addLast(new HttpRequestEncoder(), this.decoder, new FlowControlHandler(), this.connection);
+			channel.pipeline().addLast(new HttpRequestEncoder(), this.decoder, this.connection);
 		}
 
 	}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -53,12 +53,14 @@
 
 	private @Nullable ChannelHandlerContext channelContext;
 
-	private @Nullable MessageReader reader;
+	private @Nullable MessageQueue messages;
 
 	private @Nullable Exchange exchange;
 
 	private @Nullable HttpObject held;
 
+	private @Nullable Rejection deferred;
+
 	private State state = State.HEAD;
 
 	private boolean keepAlive;
@@ -75,7 +77,8 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.channelContext = added;
-		this.reader = new MessageReader(added);
+		this.messages = new MessageQueue(added, this::received, (reason) -> {
+		});
 	}
 
 	@Override
@@ -95,6 +98,9 @@
 		this.context.remove(this);
 		this.state = State.CLOSING;
 		releaseHeld();
+		if (this.messages != null) {
+			this.messages.close();
+		}
 		Exchange current = this.exchange;
 		this.exchange = null;
 		if (current != null) {
@@ -104,15 +110,18 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext from, Object message) {
-		if (this.reader != null) {
-			this.reader.received();
+		if (this.messages != null) {
+			this.messages.add(message);
 		}
+	}
+
+	private void received(HttpObject message) {
 		switch (this.state) {
-			case HEAD -> receivedHead((HttpObject) message);
-			case BODY -> receivedBody((HttpObject) message);
+			case HEAD -> receivedHead(message);
+			case BODY -> receivedBody(message);
 			case ANSWERING -> {
 				releaseHeld();
-				this.held = (HttpObject) message;
+				this.held = message;
 			}
 			case CLOSING -> {
 				ReferenceCountUtil.release(message);
@@ -170,9 +179,6 @@
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext from) {
-		if (this.reader != null) {
-			this.reader.readComplete();
-		}
 		if (this.exchange != null) {
 			this.exchange.flushBody();
 		}
@@ -196,7 +202,11 @@
 		}
 		Throwable reason = (cause.getCause() != null) ? cause.getCause() : cause;
 		Rejection rejection = RequestAdmission.undecodable(reason);
-		if (this.exchange != null) {
+		if (this.state == State.ANSWERING) {
+			// The request in progress keeps its own answer.
+			this.deferred = rejection;
+		}
+		else if (this.exchange != null) {
 			this.exchange.abandon(rejection.problem(), rejection.detail());
 		}
 		else {
@@ -323,6 +333,10 @@
 		if (waiting != null) {
 			receivedHead(waiting);
 		}
+		else if (this.deferred != null) {
+			this.keepAlive = false;
+			reject(this.deferred, null);
+		}
 		else {
 			ask();
 		}
@@ -401,8 +415,8 @@
 
 	/** Asks for the next message of the caller. */
 	void ask() {
-		if (this.reader != null) {
-			this.reader.ask();
+		if (this.messages != null) {
+			this.messages.ask();
 		}
 	}
 
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerInitializer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerInitializer.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.flow.FlowControlHandler;
 
 /**
  * Sets up the handlers of a new connection of a caller.
@@ -27,7 +26,7 @@
 		CallerConnection connection = new CallerConnection(this.context, encoder);
 		channel.pipeline()
 			.addLast(encoder, new CallerRequestDecoder(this.context.configuration().limits(), connection::headStarted),
-					new FlowControlHandler(), connection);
+					connection);
 	}
 
 }
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/MessageQueue.java
@@ -0,0 +1,124 @@
+package org.wigeonmast.proxy.internal;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Decoded messages of a channel whose automatic reading is off, delivered one at a time
+ * on demand.
+ * <p>
+ * Thread safety: none; the traffic thread owns it. Invariants: at most one message is
+ * delivered for each {@link #ask()}; the channel is read only while the queue is empty,
+ * so that the queue holds no more than one read; messages that arrived before the end of
+ * the connection are delivered before it. Netty's FlowControlHandler drops queued
+ * messages when the connection closes, which would cut a complete response short. The
+ * depth of the stack does not depend on the number of messages, so that a body of
+ * thousands of one-byte chunks cannot overflow it.
+ */
+final class MessageQueue {
+
+	private final ChannelHandlerContext context;
+
+	private final Consumer<HttpObject> receiver;
+
+	private final Consumer<String> ended;
+
+	private final Deque<Object> messages = new ArrayDeque<>();
+
+	private boolean asked;
+
+	private boolean delivering;
+
+	private boolean closed;
+
+	/**
+	 * Creates a queue.
+	 * @param context the context from which the channel is read
+	 * @param receiver takes each message and then owns it
+	 * @param ended takes the reason why no more messages arrive
+	 */
+	MessageQueue(ChannelHandlerContext context, Consumer<HttpObject> receiver, Consumer<String> ended) {
+		this.context = context;
+		this.receiver = receiver;
+		this.ended = ended;
+	}
+
+	/**
+	 * Adds a message that was decoded.
+	 * @param message the message
+	 */
+	void add(Object message) {
+		if (this.closed) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
+		this.messages.addLast(message);
+		deliver();
+	}
+
+	/**
+	 * Adds the end of the connection, which is delivered without being asked for.
+	 * @param reason why the connection ended
+	 */
+	void end(String reason) {
+		if (!this.closed) {
+			this.messages.addLast(new End(reason));
+			deliver();
+		}
+	}
+
+	/** Asks for the next message, which may be delivered before this returns. */
+	void ask() {
+		this.asked = true;
+		deliver();
+	}
+
+	/** Releases all messages; none is delivered any more. */
+	void close() {
+		this.closed = true;
+		this.messages.forEach(ReferenceCountUtil::release);
+		this.messages.clear();
+	}
+
+	private void deliver() {
+		if (this.delivering) {
+			return;
+		}
+		this.delivering = true;
+		try {
+			while (!this.messages.isEmpty() && (this.asked || this.messages.peekFirst() instanceof End)) {
+				this.asked = false;
+				deliver(this.messages.removeFirst());
+			}
+		}
+		finally {
+			this.delivering = false;
+		}
+		if (this.asked && !this.closed) {
+			this.context.read();
+		}
+	}
+
+	private void deliver(Object message) {
+		if (message instanceof End end) {
+			this.ended.accept(end.reason());
+		}
+		else {
+			this.receiver.accept((HttpObject) message);
+		}
+	}
+
+	/**
+	 * End of the connection.
+	 *
+	 * @param reason why it ended
+	 */
+	private record End(String reason) {
+	}
+
+}
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/MessageTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/MessageTests.java
@@ -125,6 +125,19 @@
 		}
 	}
 
+	// Guards against a malformed request that takes the answer of the one before it.
+	@Test
+	void malformedPipelinedRequestIsRefusedInOrder() throws Exception {
+		try (ScriptedServer backend = ScriptedServer.answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			String get = "GET /s HTTP/1.1\r\nHost: a\r\n";
+			caller.write(get + "\r\n" + get + "X: a\r\n b\r\n\r\n");
+			assertThat(caller.readMessage()).endsWith("\r\n\r\nok");
+			assertThat(caller.readAll()).startsWith("HTTP/1.1 400 ");
+		}
+	}
+
 	// Guards against a caller that waits for 100 for ever, and against an expectation
 	// that reaches the server, whose own 100 would be taken for an answer.
 	@ParameterizedTest
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/StreamingTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/StreamingTests.java
@@ -26,7 +26,8 @@
 
 	private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-	// Guards against a slow caller for whom the whole response is held in memory.
+	// Guards against a slow caller for whom the whole response is held in memory, or who
+	// loses its end when the server closes the connection before the caller has read it.
 	@Test
 	void downloadIsHeldBackByTheCaller() throws Exception {
 		CompletableFuture<Void> written = new CompletableFuture<>();
@@ -37,6 +38,7 @@
 				connection.write(new byte[PIECE]);
 			}
 			written.complete(null);
+			connection.close();
 		};
 		try (ScriptedServer backend = new ScriptedServer(send);
 				TestProxy proxy = new TestProxy(backend.description(4));
