Start the comparison anew after a change that affects most servers

Cause: after a step of all servers the sums of all of them rise together until the reference follows, and one crosses the threshold by chance; requests that timed out while they waited counted as failures of their server.

--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/detection/DetectionBench.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/detection/DetectionBench.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
 
 import org.apache.commons.cli.CommandLine;
@@ -23,6 +24,8 @@
  */
 public final class DetectionBench implements Bench {
 
+	private static final List<String> PARTS = List.of("detection", "common", "cut", "healthy");
+
 	private static final int THREADS = 4;
 
 	private static final double HIGH_RATE = 20;
@@ -54,14 +57,14 @@
 
 	@Override
 	public String description() {
-		return "detection time and wrong ejections [--seeds N] [--hours SERVER_HOURS] [--skip-baseline] [--healthy-only] [--evidence]";
+		return "detection time and wrong ejections [--seeds N] [--hours SERVER_HOURS] [--skip-baseline] [--only detection|common|cut|healthy] [--evidence]";
 	}
 
 	@Override
 	public int run(String[] arguments) throws Exception {
 		Options options = new Options().addOption(null, "seeds", true, "runs of each fault, 100 by default")
 			.addOption(null, "hours", true, "healthy server-hours, 20000 by default")
-			.addOption(null, "healthy-only", false, "run healthy traffic only")
+			.addOption(null, "only", true, "one of detection, common, cut, healthy")
 			.addOption(null, "evidence", false, "print the audit entries of healthy traffic")
 			.addOption(null, "skip-baseline", false, "leave out the baseline");
 		CommandLine line = new DefaultParser().parse(options, arguments);
@@ -70,12 +73,17 @@
 		this.evidence = line.hasOption("evidence");
 		try (ExecutorService executor = Executors.newFixedThreadPool(THREADS)) {
 			Runs runs = new Runs(executor, seeds);
-			if (!line.hasOption("healthy-only")) {
-				detection(runs, !line.hasOption("skip-baseline"));
-				commonFaults(runs);
-				cut(runs);
+			boolean baseline = !line.hasOption("skip-baseline");
+			List<String> parts = line.hasOption("only") ? List.of(line.getOptionValue("only")) : PARTS;
+			for (String part : parts) {
+				switch (part) {
+					case "detection" -> detection(runs, baseline);
+					case "common" -> commonFaults(runs);
+					case "cut" -> cut(runs);
+					case "healthy" -> healthy(runs, hours, baseline);
+					default -> throw new IllegalArgumentException("There is no part " + part + " of this bench");
+				}
 			}
-			healthy(runs, hours, !line.hasOption("skip-baseline"));
 		}
 		this.missed.forEach((target) -> this.output.println("MISSED: " + target));
 		return this.missed.isEmpty() ? 0 : 1;
@@ -122,12 +130,17 @@
 		return (milliseconds == DetectionRun.NEVER) ? "none" : Long.toString(milliseconds);
 	}
 
+	private Consumer<String> log() {
+		return this.evidence ? this.output::println : (text) -> {
+		};
+	}
+
 	private void commonFaults(Runs runs) throws Exception {
 		this.output.println("ejections while all servers slow down together, for 2 minutes");
 		for (Fault fault : List.of(Fault.allSlow(3, 0), Fault.allSlow(10, 0), Fault.allSlow(3, 60_000),
 				Fault.allSlow(10, 60_000))) {
 			for (double rate : new double[] { HIGH_RATE, LOW_RATE }) {
-				long[] counts = runs.all((seed) -> new DetectionRun(seed, rate, fault).ejectionsDuring(120_000));
+				long[] counts = runs.all((seed) -> new DetectionRun(seed, rate, fault).ejectionsDuring(120_000, log()));
 				long total = Arrays.stream(counts).sum();
 				this.output.printf(Locale.ROOT, "monitor   %4.0f/s  %-32s ejections %d in %d runs%n", rate,
 						fault.name(), total, counts.length);
@@ -141,7 +154,7 @@
 	private void cut(Runs runs) throws Exception {
 		Fault fault = Fault.cut(1.0 / 3);
 		for (double rate : new double[] { HIGH_RATE, LOW_RATE }) {
-			long[] counts = runs.all((seed) -> new DetectionRun(seed, rate, fault).ejectionsDuring(60_000));
+			long[] counts = runs.all((seed) -> new DetectionRun(seed, rate, fault).ejectionsDuring(60_000, log()));
 			long[] avoiders = runs.all((seed) -> new DetectionRun(seed, rate, fault).pathAvoiders(60_000));
 			long total = Arrays.stream(counts).sum();
 			Arrays.sort(avoiders);
--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/detection/DetectionRun.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/detection/DetectionRun.java
@@ -1,5 +1,7 @@
 package org.wigeonmast.bench.detection;
 
+import java.util.function.Consumer;
+
 import org.wigeonmast.testing.EventQueue;
 
 /**
@@ -69,12 +71,14 @@
 	/**
 	 * Returns the number of ejections in a time from the start of the fault.
 	 * @param time the time in milliseconds
+	 * @param log takes the audit entries as text
 	 * @return the number
 	 */
-	long ejectionsDuring(long time) {
+	long ejectionsDuring(long time, Consumer<String> log) {
 		MonitorPolicy policy = new MonitorPolicy(this.queue, this.setup);
 		ServiceSimulation simulation = simulate(policy);
 		simulation.runUntil(this.start);
+		policy.log((entry) -> log.accept(this.seed + " " + this.setup.name() + " " + this.start + " " + entry));
 		double before = policy.ejections();
 		simulation.runUntil(this.start + time);
 		return (long) (policy.ejections() - before);
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
@@ -39,6 +39,15 @@
 	/** Share of the threshold from which a server is no part of the comparison. */
 	private static final double DOUBTFUL = 0.5;
 
+	/**
+	 * Sum of scores of most servers at once that shows a change which affects all of
+	 * them.
+	 */
+	private static final double COMMON = 5;
+
+	/** Weight of earlier work after a change that affects most servers. */
+	private static final float FORGETTING = 0.1F;
+
 	/** Requests per server after which a duration has half of its weight. */
 	private static final double HALF_LIFE = 64;
 
@@ -181,6 +190,54 @@
 		for (ServerEvidence evidence : this.servers.values()) {
 			scoreRunning(now, evidence);
 		}
+		for (WorkClass workClass : WorkClass.values()) {
+			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
+				if (lowerMedian(workClass, kind) > COMMON) {
+					adapt(workClass, kind);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Starts the comparison anew after a change that affects most servers; otherwise the
+	 * sums of all of them rise until the reference has followed, and one of them reaches
+	 * the threshold by chance.
+	 * @param workClass the class of work
+	 * @param kind the kind of evidence
+	 */
+	private void adapt(WorkClass workClass, Suspicion.Kind kind) {
+		for (ServerEvidence server : this.servers.values()) {
+			ClassEvidence evidence = server.of(workClass);
+			switch (kind) {
+				case SLOW -> {
+					evidence.slow = 0;
+					evidence.durations.decay(FORGETTING);
+				}
+				case FAILING -> {
+					evidence.failing = 0;
+					evidence.answers *= FORGETTING;
+					evidence.errors *= FORGETTING;
+				}
+				case UNREACHABLE -> server.paths.clear();
+			}
+		}
+		this.peers[workClass.ordinal()].sum();
+	}
+
+	private double lowerMedian(WorkClass workClass, Suspicion.Kind kind) {
+		double[] sums = new double[this.servers.size()];
+		int count = 0;
+		for (ServerEvidence server : this.servers.values()) {
+			if (server.reference) {
+				sums[count++] = sum(server, workClass, kind);
+			}
+		}
+		if (count < 2) {
+			return 0;
+		}
+		Arrays.sort(sums, 0, count);
+		return sums[(count - 1) / 2];
 	}
 
 	/**
@@ -221,11 +278,22 @@
 						result.end - evidence.serviceStart(start, heldSlots(index, result, evidence)));
 				evidence.answered(result.end);
 			}
-			case TIMED_OUT, CONNECTION_FAILED -> {
+			case CONNECTION_FAILED -> {
 				if (evidence.paths.unanswered(result.end, observer)) {
 					countAnswer(evidence, workClass, true, 0);
 				}
 			}
+			case TIMED_OUT -> {
+				int held = heldSlots(index, result, evidence);
+				boolean ownFault = evidence.paths.unanswered(result.end, observer);
+				// A request that waited until it timed out shows nothing that the
+				// requests
+				// before it do not show.
+				if (ownFault && held < evidence.slots()) {
+					countSlow(evidence, workClass, result.end - evidence.serviceStart(start, held));
+					evidence.answered(result.end);
+				}
+			}
 			// Shedding shows load, not sickness.
 			case SHED -> evidence.paths.answered(result.end, observer);
 		}
@@ -254,11 +322,8 @@
 		ClassEvidence evidence = server.of(workClass);
 		evidence.remember(failed, duration);
 		evidence.addFailing(Scores.failing(failed, durations.errorShare(evidence)));
-		if (!failed && server.slownessCounts) {
-			double rank = durations.rank(evidence, duration);
-			if (rank >= 0) {
-				evidence.addSlow(Scores.slow(rank));
-			}
+		if (!failed) {
+			countSlow(server, workClass, duration);
 		}
 		if (server.reference && !doubtful(server, workClass)) {
 			durations.counted++;
@@ -272,6 +337,14 @@
 		}
 	}
 
+	private void countSlow(ServerEvidence server, WorkClass workClass, long duration) {
+		ClassEvidence evidence = server.of(workClass);
+		double rank = this.peers[workClass.ordinal()].rank(evidence, duration);
+		if (rank >= 0 && server.slownessCounts) {
+			evidence.addSlow(Scores.slow(rank));
+		}
+	}
+
 	private boolean doubtful(ServerEvidence server, WorkClass workClass) {
 		ClassEvidence evidence = server.of(workClass);
 		double limit = DOUBTFUL * THRESHOLD;
@@ -386,12 +459,18 @@
 			int count = Detector.this.servers.size();
 			float factor = (float) Math.pow(2, -this.counted / (HALF_LIFE * count));
 			this.counted = 0;
+			for (ServerEvidence server : Detector.this.servers.values()) {
+				server.of(this.workClass).decay(factor);
+			}
+			sum();
+		}
+
+		private void sum() {
 			this.histograms.clear();
 			this.answers = 0;
 			this.errors = 0;
 			for (ServerEvidence server : Detector.this.servers.values()) {
 				ClassEvidence evidence = server.of(this.workClass);
-				evidence.decay(factor);
 				evidence.durations.accumulate();
 				this.histograms.add(evidence.durations);
 				this.answers += evidence.answers;
