--- /dev/null
+++ b/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/follow/FollowerSimulation.java
@@ -0,0 +1,302 @@
+package org.wigeonmast.manifest.follow;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.CallerId;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.ManifestChecker;
+import org.wigeonmast.manifest.ManifestIndex;
+import org.wigeonmast.manifest.ManifestPart;
+import org.wigeonmast.manifest.Route;
+import org.wigeonmast.manifest.Service;
+import org.wigeonmast.testing.EventQueue;
+import org.wigeonmast.testing.FakeNetwork;
+
+/**
+ * Followers of one region under faults, with checks of the guarantees at every effect.
+ * <p>
+ * Thread safety: none. Membership is fixed: it never declares a daemon dead.
+ */
+final class FollowerSimulation implements ManifestChecker {
+
+	final EventQueue queue = new EventQueue();
+
+	final FakeNetwork<HostAddress, ManifestMessage> network;
+
+	final List<String> violations = new ArrayList<>();
+
+	final List<Daemon> daemons = new ArrayList<>();
+
+	private final Random random;
+
+	private final Maker maker;
+
+	private final Map<String, byte[]> content = new HashMap<>();
+
+	private final List<byte[]> indexes = new ArrayList<>();
+
+	private int served;
+
+	private int readinessChecks;
+
+	FollowerSimulation(long seed, int count, Maker maker) {
+		this.random = new Random(seed);
+		this.maker = maker;
+		this.network = new FakeNetwork<>(this.queue, new Random(seed + 1), (from, to) -> 1000);
+		publish();
+		for (int i = 0; i < count; i++) {
+			this.daemons.add(new Daemon(i));
+		}
+		this.daemons.forEach(Daemon::start);
+	}
+
+	int readinessChecks() {
+		return this.readinessChecks;
+	}
+
+	/** Publishes a version whose index and one part are new. */
+	void publish() {
+		int version = this.indexes.size() + 1;
+		String text = version + "";
+		for (String part : List.of("part of version " + version, "shared part")) {
+			byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+			this.content.put(ContentHash.of(bytes), bytes);
+			text += " " + ContentHash.of(bytes) + " " + bytes.length;
+		}
+		this.indexes.add(text.getBytes(StandardCharsets.UTF_8));
+		this.served = this.indexes.size() - 1;
+	}
+
+	/**
+	 * Makes the store serve an old version.
+	 * @param version the number of the version, from 0
+	 */
+	void serveStale(int version) {
+		this.served = version % this.indexes.size();
+	}
+
+	void run(long milliseconds) {
+		this.queue.runUntil(this.queue.microseconds() + milliseconds * EventQueue.MICROSECONDS_PER_MILLISECOND);
+	}
+
+	@Override
+	public Either<List<String>, ManifestIndex> readIndex(byte[] bytes) {
+		String[] words = new String(bytes, StandardCharsets.UTF_8).split(" ");
+		List<ManifestPart> parts = new ArrayList<>();
+		for (int i = 1; i < words.length; i += 2) {
+			parts.add(new ManifestPart("part-" + i, words[i], Long.parseLong(words[i + 1])));
+		}
+		return Either.right(new ManifestIndex(Long.parseLong(words[0]), ContentHash.of(bytes), parts));
+	}
+
+	@Override
+	public Either<List<String>, Manifest> check(ManifestIndex index, Map<String, byte[]> parts) {
+		return Either.right(new VersionOnly(index.version(), index.hash()));
+	}
+
+	/** One daemon, replaced by an empty one of the same address when it restarts. */
+	final class Daemon {
+
+		private final HostAddress address;
+
+		private final int number;
+
+		private Component<FollowInput, FollowEffect> component;
+
+		private ManifestFollower follower;
+
+		private int life;
+
+		private long highest;
+
+		private Map<Daemon, Integer> lifeAtStart = Map.of();
+
+		private Map<Daemon, Long> highestAtStart = Map.of();
+
+		Daemon(int number) {
+			this.number = number;
+			this.address = new HostAddress("10.0.0." + (number + 1), 1);
+		}
+
+		long version() {
+			return this.follower.inForce().version();
+		}
+
+		boolean isReady() {
+			return this.follower.isReady();
+		}
+
+		void start() {
+			this.life++;
+			this.highest = 0;
+			this.lifeAtStart = new HashMap<>();
+			this.highestAtStart = new HashMap<>();
+			for (Daemon other : FollowerSimulation.this.daemons) {
+				this.lifeAtStart.put(other, other.life);
+				this.highestAtStart.put(other, other.highest);
+			}
+			this.follower = new ManifestFollower("daemon-" + this.number, new Region("r"), FollowerSimulation.this,
+					FollowSettings.standard(), new Random(FollowerSimulation.this.random.nextLong()));
+			this.component = FollowerSimulation.this.maker.make(this.follower);
+			int current = this.life;
+			FollowerSimulation.this.network.register(this.address,
+					(from, message) -> give(current, new FollowInput.Received(from, message)));
+			List<Peer> peers = new ArrayList<>();
+			for (Daemon other : FollowerSimulation.this.daemons) {
+				if (other != this) {
+					peers.add(new Peer(other.address, new Region("r"), other.number < 2));
+				}
+			}
+			give(current, new FollowInput.PeersChanged(peers, (this.number < 2) ? this.number : -1, true));
+			wake(current);
+			probe(current);
+		}
+
+		void pauseEnded() {
+			give(this.life, new FollowInput.Resumed());
+		}
+
+		private void wake(int expected) {
+			if (expected == this.life) {
+				carryOut(this.component.tick(FollowerSimulation.this.queue.milliseconds()));
+				FollowerSimulation.this.queue.schedule(50_000, () -> wake(expected));
+			}
+		}
+
+		/** Stands in for the membership probe that carries the version. */
+		private void probe(int expected) {
+			if (expected == this.life) {
+				Daemon other = FollowerSimulation.this.daemons
+					.get(FollowerSimulation.this.random.nextInt(FollowerSimulation.this.daemons.size()));
+				FollowerSimulation.this.network.send(this.address, other.address,
+						new ManifestMessage.Announcement(this.follower.inForce()));
+				FollowerSimulation.this.queue.schedule(1_000_000, () -> probe(expected));
+			}
+		}
+
+		private void give(int expected, FollowInput input) {
+			if (expected == this.life) {
+				carryOut(this.component.handle(FollowerSimulation.this.queue.milliseconds(), input));
+			}
+		}
+
+		private void carryOut(List<FollowEffect> effects) {
+			for (FollowEffect effect : effects) {
+				switch (effect) {
+					case FollowEffect.Send send ->
+						FollowerSimulation.this.network.send(this.address, send.to(), send.message());
+					case FollowEffect.ReadIndex read -> store(this.life, new FollowInput.StoreIndex(
+							FollowerSimulation.this.indexes.get(FollowerSimulation.this.served)));
+					case FollowEffect.WatchIndex watch -> watch(this.life, watch);
+					case FollowEffect.ReadPart read -> store(this.life,
+							new FollowInput.StorePart(read.hash(), FollowerSimulation.this.content.get(read.hash())));
+					case FollowEffect.Apply apply -> applied(apply.manifest().version());
+					case FollowEffect.ReadinessChanged change when change.ready() -> becameReady();
+					case FollowEffect.ReadinessChanged change -> {
+					}
+					case FollowEffect.Audit audit -> {
+					}
+					case FollowEffect.Report report -> {
+					}
+				}
+			}
+		}
+
+		private void store(int expected, FollowInput answer) {
+			FollowerSimulation.this.queue.schedule(5000, () -> give(expected, answer));
+		}
+
+		private void watch(int expected, FollowEffect.WatchIndex watch) {
+			FollowerSimulation.this.queue.schedule(watch.waitTime() * 300, () -> {
+				byte[] index = FollowerSimulation.this.indexes.get(FollowerSimulation.this.served);
+				give(expected, ContentHash.of(index).equals(watch.knownHash()) ? new FollowInput.StoreUnchanged()
+						: new FollowInput.StoreIndex(index));
+			});
+		}
+
+		private void applied(long version) {
+			if (version <= this.highest) {
+				FollowerSimulation.this.violations
+					.add("daemon " + this.number + " went from " + this.highest + " to " + version);
+			}
+			this.highest = Math.max(this.highest, version);
+		}
+
+		private void becameReady() {
+			long required = 0;
+			List<Long> held = new ArrayList<>();
+			for (Daemon other : FollowerSimulation.this.daemons) {
+				if (other != this && other.life == this.lifeAtStart.get(other)) {
+					held.add(this.highestAtStart.get(other));
+				}
+			}
+			held.sort(Comparator.reverseOrder());
+			int majority = FollowerSimulation.this.daemons.size() / 2 + 1;
+			if (held.size() >= majority) {
+				required = held.get(majority - 1);
+				FollowerSimulation.this.readinessChecks += (required > 0) ? 1 : 0;
+			}
+			if (this.highest < required) {
+				FollowerSimulation.this.violations.add("daemon " + this.number + " is ready with " + this.highest
+						+ " though a majority accepted " + required + " before it started");
+			}
+		}
+
+	}
+
+	/**
+	 * A manifest of which only the version matters.
+	 *
+	 * @param version the version
+	 * @param hash the hash of the index
+	 */
+	private record VersionOnly(long version, String hash) implements Manifest {
+
+		@Override
+		public Collection<Service> services() {
+			return List.of();
+		}
+
+		@Override
+		public @Nullable Service service(ServiceName name) {
+			return null;
+		}
+
+		@Override
+		public @Nullable Route route(String method, String path) {
+			return null;
+		}
+
+		@Override
+		public long callerLimit(CallerId caller) {
+			return 0;
+		}
+
+		@Override
+		public Map<FailureDomain, Integer> daemons() {
+			return Map.of();
+		}
+	}
+
+	/** Makes the component under test, so that a broken one can be checked too. */
+	interface Maker {
+
+		Component<FollowInput, FollowEffect> make(ManifestFollower follower);
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/follow/ManifestFollowerPropertyTests.java
@@ -0,0 +1,180 @@
+package org.wigeonmast.manifest.follow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.HostAddress;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a daemon that goes back to an older manifest, or that serves an older
+ * one than a majority of its region had accepted before it started.
+ */
+class ManifestFollowerPropertyTests {
+
+	private static final int DAEMONS = 5;
+
+	@Property(tries = 300, seed = "20261204")
+	void neverGoesBackAndIsReadyWithWhatAMajorityAccepted(@ForAll @IntRange(max = 1_000_000) int seed,
+			@ForAll @Size(min = 5, max = 40) List<@IntRange(max = 999) Integer> steps) {
+		FollowerSimulation simulation = run(seed, steps, (follower) -> follower);
+		assertThat(simulation.violations).isEmpty();
+	}
+
+	@Property(tries = 100, seed = "20261204")
+	void convergesAfterFaultsEnd(@ForAll @IntRange(max = 1_000_000) int seed,
+			@ForAll @Size(min = 5, max = 40) List<@IntRange(max = 999) Integer> steps) {
+		FollowerSimulation simulation = run(seed, steps, (follower) -> follower);
+		simulation.network.heal();
+		simulation.network.setLoss(0);
+		simulation.publish();
+		simulation.run(8000);
+		for (FollowerSimulation.Daemon daemon : simulation.daemons) {
+			assertThat(daemon.isReady()).isTrue();
+			assertThat(daemon.version()).isEqualTo(simulation.daemons.getFirst().version());
+		}
+	}
+
+	@Test
+	void checksFailOnAFollowerThatReapplies() {
+		assertThat(violationsOf(RepeatingFollower::new)).contains("went from");
+	}
+
+	@Test
+	void checksFailOnAFollowerThatIsReadyWithoutAsking() {
+		assertThat(violationsOf(HastyFollower::new)).contains("is ready with");
+	}
+
+	private static String violationsOf(FollowerSimulation.Maker maker) {
+		List<String> violations = new ArrayList<>();
+		Random random = new Random(4);
+		for (int seed = 0; seed < 100; seed++) {
+			List<Integer> steps = random.ints(40, 0, 1000).boxed().toList();
+			violations.addAll(run(seed, steps, maker).violations);
+		}
+		return String.join("\n", violations);
+	}
+
+	@Test
+	void randomStepsReachTheReadinessCheck() {
+		Random random = new Random(4);
+		int checks = 0;
+		for (int seed = 0; seed < 100; seed++) {
+			checks += run(seed, random.ints(40, 0, 1000).boxed().toList(), (follower) -> follower).readinessChecks();
+		}
+		assertThat(checks).isAtLeast(100);
+	}
+
+	private static FollowerSimulation run(int seed, List<Integer> steps, FollowerSimulation.Maker maker) {
+		FollowerSimulation simulation = new FollowerSimulation(seed, DAEMONS, maker);
+		simulation.network.setLoss(0.1);
+		simulation.network.setDuplication(0.1);
+		simulation.network.setJitter(400_000);
+		simulation.run(3000);
+		for (int step : steps) {
+			int subject = (step / 10) % DAEMONS;
+			FollowerSimulation.Daemon daemon = simulation.daemons.get(subject);
+			switch (step % 10) {
+				case 0, 1 -> simulation.publish();
+				case 2, 3, 4 -> daemon.start();
+				case 5 -> simulation.serveStale(step / 50);
+				case 6 -> simulation.network.cutWhere((from, to) -> side(from, step) != side(to, step));
+				case 7 -> simulation.network.cutWhere((from, to) -> side(from, step) && !side(to, step));
+				case 8 -> simulation.network.heal();
+				default -> daemon.pauseEnded();
+			}
+			simulation.run(50 + 10L * (step % 300));
+		}
+		return simulation;
+	}
+
+	private static boolean side(HostAddress address, int step) {
+		int host = Integer.parseInt(address.address().substring(address.address().lastIndexOf('.') + 1));
+		return ((step / 10) >> (host - 1) & 1) == 1;
+	}
+
+	/** Broken on purpose: applies the first accepted manifest once more later. */
+	private static final class RepeatingFollower extends DelegatingFollower {
+
+		private FollowEffect first;
+
+		private int applied;
+
+		RepeatingFollower(ManifestFollower follower) {
+			super(follower);
+		}
+
+		@Override
+		List<FollowEffect> alter(List<FollowEffect> effects) {
+			List<FollowEffect> altered = new ArrayList<>(effects);
+			for (FollowEffect effect : effects) {
+				if (effect instanceof FollowEffect.Apply) {
+					this.first = (this.first != null) ? this.first : effect;
+					if (++this.applied == 2) {
+						altered.add(this.first);
+					}
+				}
+			}
+			return altered;
+		}
+
+	}
+
+	/** Broken on purpose: is ready as soon as it has any manifest. */
+	private static final class HastyFollower extends DelegatingFollower {
+
+		private boolean ready;
+
+		HastyFollower(ManifestFollower follower) {
+			super(follower);
+		}
+
+		@Override
+		List<FollowEffect> alter(List<FollowEffect> effects) {
+			List<FollowEffect> altered = new ArrayList<>(effects);
+			altered.removeIf((effect) -> effect instanceof FollowEffect.ReadinessChanged);
+			if (!this.ready && effects.stream().anyMatch((effect) -> effect instanceof FollowEffect.Apply)) {
+				this.ready = true;
+				altered.add(new FollowEffect.ReadinessChanged(true));
+			}
+			return altered;
+		}
+
+	}
+
+	private abstract static class DelegatingFollower implements Component<FollowInput, FollowEffect> {
+
+		private final ManifestFollower follower;
+
+		DelegatingFollower(ManifestFollower follower) {
+			this.follower = follower;
+		}
+
+		abstract List<FollowEffect> alter(List<FollowEffect> effects);
+
+		@Override
+		public List<FollowEffect> handle(long now, FollowInput message) {
+			return alter(this.follower.handle(now, message));
+		}
+
+		@Override
+		public List<FollowEffect> tick(long now) {
+			return alter(this.follower.tick(now));
+		}
+
+		@Override
+		public long nextTick() {
+			return this.follower.nextTick();
+		}
+
+	}
+
+}
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MemberTable.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MemberTable.java
@@ -33,6 +33,8 @@
 
 	private final List<Entry> dead = new ArrayList<>();
 
+	private final MemberDigest digest = new MemberDigest();
+
 	MemberTable(Region region) {
 		this.region = region;
 	}
@@ -41,6 +43,10 @@
 		return this.entries.get(name);
 	}
 
+	MemberDigest digest() {
+		return this.digest;
+	}
+
 	int size() {
 		return this.entries.size();
 	}
@@ -66,6 +72,9 @@
 		}
 		else {
 			remove(listOf(entry.member), entry);
+			if (!entry.isDead()) {
+				this.digest.toggle(entry.member);
+			}
 			entry.member = member;
 		}
 		entry.unreachable = false;
@@ -73,6 +82,9 @@
 		List<Entry> list = listOf(member);
 		entry.position = list.size();
 		list.add(entry);
+		if (!entry.isDead()) {
+			this.digest.toggle(member);
+		}
 	}
 
 	/**
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipCodec.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipCodec.java
@@ -55,7 +55,7 @@
 					.setReached(reply.reached()));
 			case MembershipMessage.Gossip gossip -> envelope.setGossip(MembershipProtocol.Gossip.getDefaultInstance());
 			case MembershipMessage.SyncRequest request ->
-				envelope.setSyncRequest(MembershipProtocol.SyncRequest.getDefaultInstance());
+				envelope.setSyncRequest(MembershipProtocol.SyncRequest.newBuilder().addAllDigest(request.digest()));
 			case MembershipMessage.SyncReply reply ->
 				envelope.setSyncReply(MembershipProtocol.SyncReply.newBuilder().setLast(reply.last()));
 		}
@@ -72,6 +72,7 @@
 			throw new MalformedMessageException(SLICE, "not a membership message", exception);
 		}
 		check(envelope.getUpdatesCount() <= MAXIMUM_UPDATES, "too many records");
+		check(envelope.getSyncRequest().getDigestCount() <= MemberDigest.BUCKETS, "digest too long");
 		Member sender = decode(envelope.getSender());
 		List<Member> updates = new ArrayList<>(envelope.getUpdatesCount());
 		for (MembershipProtocol.MemberRecord record : envelope.getUpdatesList()) {
@@ -87,7 +88,7 @@
 			case INDIRECT_REPLY -> new MembershipMessage.IndirectReply(envelope.getIndirectReply().getNumber(), sender,
 					updates, envelope.getIndirectReply().getReached());
 			case GOSSIP -> new MembershipMessage.Gossip(sender, updates);
-			case SYNC_REQUEST -> new MembershipMessage.SyncRequest(sender, updates);
+			case SYNC_REQUEST -> new MembershipMessage.SyncRequest(sender, envelope.getSyncRequest().getDigestList());
 			case SYNC_REPLY -> new MembershipMessage.SyncReply(sender, updates, envelope.getSyncReply().getLast());
 			case BODY_NOT_SET -> throw new MalformedMessageException(SLICE, "unknown kind of message", null);
 		};
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -18,8 +18,8 @@
  * The members of the fleet as one daemon sees them, kept by probes and gossip (SWIM).
  * <p>
  * Thread safety: none; the control thread owns it. Invariants: the cost of a message does
- * not grow with the fleet, apart from exchanges of all records, which are rare; a record
- * is replaced only as {@link Member#replaces(Member)} says; a daemon that was paused, or
+ * not grow with the fleet, apart from the first exchange of all records; a record is
+ * replaced only as {@link Member#replaces(Member)} says; a daemon that was paused, or
  * that no relay answers, accuses nobody towards others.
  * <p>
  * Wiring: give every message of this slice as {@link MembershipInput.Received}, the seeds
@@ -75,6 +75,9 @@
 
 	private long nextSync;
 
+	/** Mean time until the next sync, short after the start and doubled each time. */
+	private long syncDelay;
+
 	private long nextReturnSync;
 
 	/**
@@ -111,6 +114,14 @@
 		return members;
 	}
 
+	/**
+	 * Returns the number of members that were not declared dead, this daemon included.
+	 * @return the number
+	 */
+	public int liveCount() {
+		return this.table.liveCount() + 1;
+	}
+
 	/**
 	 * Returns whether this daemon has joined the fleet or has given up waiting.
 	 * @return whether the view is complete as far as it can be
@@ -150,10 +161,11 @@
 			checkIsolation(now);
 		}
 		if (now >= this.nextSync) {
-			this.nextSync = now + randomSyncDelay();
+			this.syncDelay = Math.min(2 * this.syncDelay, this.settings.syncInterval());
+			this.nextSync = now + this.syncDelay / 2 + this.random.nextLong(this.syncDelay);
 			Entry entry = this.table.randomLive(this.random);
 			if (entry != null) {
-				send(entry.member().address(), new MembershipMessage.SyncRequest(this.self, List.of()));
+				requestSync(entry.member().address());
 			}
 		}
 		return drain();
@@ -177,7 +189,8 @@
 			this.startedAt = now;
 			this.lastHeard = now;
 			this.nextReconnect = now + this.random.nextLong(this.settings.reconnectInterval());
-			this.nextSync = now + randomSyncDelay();
+			this.syncDelay = this.settings.probeInterval();
+			this.nextSync = now + this.syncDelay;
 			this.detector.start(now);
 			return;
 		}
@@ -193,16 +206,11 @@
 		this.detector.beQuiet(now + this.settings.joinTimeout());
 		this.lastHeard = now;
 		this.nextReconnect = now;
-		this.nextSync = Math.max(this.nextSync, now);
 		for (Entry entry : this.table.randomLive(this.random, this.settings.relays(), null)) {
-			send(entry.member().address(), new MembershipMessage.SyncRequest(this.self, List.of()));
+			requestSync(entry.member().address());
 		}
 	}
 
-	private long randomSyncDelay() {
-		return this.settings.syncInterval() / 2 + this.random.nextLong(this.settings.syncInterval());
-	}
-
 	private void join(long now) {
 		if (now - this.startedAt >= this.settings.joinTimeout()) {
 			this.joined = true;
@@ -214,7 +222,7 @@
 		for (int i = 0; i < this.settings.relays(); i++) {
 			HostAddress seed = randomSeed();
 			if (seed != null) {
-				send(seed, new MembershipMessage.SyncRequest(this.self, List.of()));
+				requestSync(seed);
 			}
 		}
 	}
@@ -301,7 +309,7 @@
 			case MembershipMessage.IndirectReply reply -> this.detector.relayAnswered(reply.number(), reply.reached());
 			case MembershipMessage.Gossip gossip -> {
 			}
-			case MembershipMessage.SyncRequest request -> sendAll(from);
+			case MembershipMessage.SyncRequest request -> sendDiffering(from, request.digest());
 			case MembershipMessage.SyncReply reply -> synced(reply);
 		}
 	}
@@ -320,16 +328,32 @@
 	private void syncWithReturned(long now, HostAddress from) {
 		if (now >= this.nextReturnSync) {
 			this.nextReturnSync = now + RETURN_SYNC_INTERVAL;
-			send(from, new MembershipMessage.SyncRequest(this.self, List.of()));
+			requestSync(from);
+		}
+	}
+
+	private void requestSync(HostAddress from) {
+		List<Long> digest = List.of();
+		if (this.table.liveCount() > 0) {
+			MemberDigest own = this.table.digest();
+			own.toggle(this.self);
+			digest = own.values();
+			own.toggle(this.self);
 		}
+		send(from, new MembershipMessage.SyncRequest(this.self, digest));
 	}
 
-	private void sendAll(HostAddress to) {
-		List<Member> all = this.table.live(false);
+	private void sendDiffering(HostAddress to, List<Long> digest) {
+		MemberDigest own = this.table.digest();
+		own.toggle(this.self);
+		List<Member> differing = this.table.live(false);
+		differing.removeIf((member) -> !own.differs(member.name(), digest));
+		own.toggle(this.self);
 		int page = this.settings.syncPage();
-		for (int start = 0; start == 0 || start < all.size(); start += page) {
-			int end = Math.min(start + page, all.size());
-			send(to, new MembershipMessage.SyncReply(this.self, all.subList(start, end), end == all.size()));
+		for (int start = 0; start == 0 || start < differing.size(); start += page) {
+			int end = Math.min(start + page, differing.size());
+			send(to, new MembershipMessage.SyncReply(this.self, differing.subList(start, end),
+					end == differing.size()));
 		}
 	}
 
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipMessage.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipMessage.java
@@ -102,20 +102,26 @@
 	}
 
 	/**
-	 * Asks for all records.
+	 * Asks for the records that differ from those of the sender.
 	 *
 	 * @param sender the sender
-	 * @param updates records that changed
+	 * @param digest the digest of the records that the sender has, as
+	 * {@link MemberDigest} makes it; empty to ask for all records
 	 */
-	record SyncRequest(Member sender, List<Member> updates) implements MembershipMessage {
+	record SyncRequest(Member sender, List<Long> digest) implements MembershipMessage {
 
 		public SyncRequest {
-			updates = List.copyOf(updates);
+			digest = List.copyOf(digest);
+		}
+
+		@Override
+		public List<Member> updates() {
+			return List.of();
 		}
 	}
 
 	/**
-	 * Holds one page of all records.
+	 * Holds one page of the records that were asked for.
 	 *
 	 * @param sender the sender
 	 * @param updates the records of the page
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipSettings.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipSettings.java
@@ -16,7 +16,7 @@
  * @param gossipFanOut the number of members to which changes are pushed
  * @param updatesPerMessage the greatest number of records that travel with a message
  * @param reconnectInterval the time between attempts to reach dead members and seeds
- * @param syncInterval the mean time between exchanges of all records
+ * @param syncInterval the mean time between requests for records that differ
  * @param syncPage the greatest number of records in a page
  * @param joinRetry the time between requests to seeds while joining
  * @param joinTimeout the time after which joining is given up
@@ -34,7 +34,7 @@
 	 * @return the settings
 	 */
 	public static MembershipSettings standard() {
-		return new MembershipSettings(1000, 300, 3, 3000, 10_000, 100, 3, 8, 2000, 600_000, 256, 500, 5000, 2000,
+		return new MembershipSettings(1000, 300, 3, 3000, 10_000, 100, 3, 8, 2000, 30_000, 256, 500, 5000, 2000,
 				900_000, 20_000);
 	}
 
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/internal/protocol/MembershipProtocol.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/internal/protocol/MembershipProtocol.java
@@ -5583,6 +5583,23 @@
   public interface SyncRequestOrBuilder extends
       // @@protoc_insertion_point(interface_extends:wigeonmast.membership.SyncRequest)
       com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated fixed64 digest = 1;</code>
+     * @return A list containing the digest.
+     */
+    java.util.List<java.lang.Long> getDigestList();
+    /**
+     * <code>repeated fixed64 digest = 1;</code>
+     * @return The count of digest.
+     */
+    int getDigestCount();
+    /**
+     * <code>repeated fixed64 digest = 1;</code>
+     * @param index The index of the element to return.
+     * @return The digest at the given index.
+     */
+    long getDigest(int index);
   }
   /**
    * Protobuf type {@code wigeonmast.membership.SyncRequest}
@@ -5606,6 +5623,7 @@
       super(builder);
     }
     private SyncRequest() {
+      digest_ = emptyLongList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -5626,6 +5644,36 @@
               org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest.class, org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest.Builder.class);
     }
 
+    public static final int DIGEST_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList digest_ =
+        emptyLongList();
+    /**
+     * <code>repeated fixed64 digest = 1;</code>
+     * @return A list containing the digest.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getDigestList() {
+      return digest_;
+    }
+    /**
+     * <code>repeated fixed64 digest = 1;</code>
+     * @return The count of digest.
+     */
+    public int getDigestCount() {
+      return digest_.size();
+    }
+    /**
+     * <code>repeated fixed64 digest = 1;</code>
+     * @param index The index of the element to return.
+     * @return The digest at the given index.
+     */
+    public long getDigest(int index) {
+      return digest_.getLong(index);
+    }
+    private int digestMemoizedSerializedSize = -1;
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -5640,14 +5688,38 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
+      getSerializedSize();
+      if (getDigestList().size() > 0) {
+        output.writeUInt32NoTag(10);
+        output.writeUInt32NoTag(digestMemoizedSerializedSize);
+      }
+      for (int i = 0; i < digest_.size(); i++) {
+        output.writeFixed64NoTag(digest_.getLong(i));
+      }
       getUnknownFields().writeTo(output);
     }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      {
+        int dataSize = 0;
+        dataSize = 8 * getDigestList().size();
+        size += dataSize;
+        if (!getDigestList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        digestMemoizedSerializedSize = dataSize;
+      }
+      return size;
+    }
     @java.lang.Override
     public int getSerializedSize() {
       int size = memoizedSize;
       if (size != -1) return size;
 
       size = 0;
+      size += computeSerializedSize_0();
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -5663,6 +5735,8 @@
       }
       org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest other = (org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest) obj;
 
+      if (!getDigestList()
+          .equals(other.getDigestList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -5674,6 +5748,10 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
+      if (getDigestCount() > 0) {
+        hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+        hash = (53 * hash) + getDigestList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -5804,6 +5882,8 @@
       @java.lang.Override
       public Builder clear() {
         super.clear();
+        bitField0_ = 0;
+        digest_ = emptyLongList();
         return this;
       }
 
@@ -5830,10 +5910,19 @@
       @java.lang.Override
       public org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest buildPartial() {
         org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest result = new org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
+      private void buildPartial0(org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          digest_.makeImmutable();
+          result.digest_ = digest_;
+        }
+      }
+
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
         if (other instanceof org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest) {
@@ -5846,6 +5935,17 @@
 
       public Builder mergeFrom(org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest other) {
         if (other == org.wigeonmast.membership.internal.protocol.MembershipProtocol.SyncRequest.getDefaultInstance()) return this;
+        if (!other.digest_.isEmpty()) {
+          if (digest_.isEmpty()) {
+            digest_ = other.digest_;
+            digest_.makeImmutable();
+            bitField0_ |= 0x00000001;
+          } else {
+            ensureDigestIsMutable();
+            digest_.addAll(other.digest_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -5870,6 +5970,23 @@
               case 0:
                 done = true;
                 break;
+              case 9: {
+                long v = input.readFixed64();
+                ensureDigestIsMutable();
+                digest_.addLong(v);
+                break;
+              } // case 9
+              case 10: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensureDigestIsMutable(alloc / 8);
+                while (input.getBytesUntilLimit() > 0) {
+                  digest_.addLong(input.readFixed64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 10
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5885,6 +6002,97 @@
         } // finally
         return this;
       }
+      private int bitField0_;
+
+      private com.google.protobuf.Internal.LongList digest_ = emptyLongList();
+      private void ensureDigestIsMutable() {
+        if (!digest_.isModifiable()) {
+          digest_ = makeMutableCopy(digest_);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      private void ensureDigestIsMutable(int capacity) {
+        if (!digest_.isModifiable()) {
+          digest_ = makeMutableCopy(digest_, capacity);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      /**
+       * <code>repeated fixed64 digest = 1;</code>
+       * @return A list containing the digest.
+       */
+      public java.util.List<java.lang.Long>
+          getDigestList() {
+        digest_.makeImmutable();
+        return digest_;
+      }
+      /**
+       * <code>repeated fixed64 digest = 1;</code>
+       * @return The count of digest.
+       */
+      public int getDigestCount() {
+        return digest_.size();
+      }
+      /**
+       * <code>repeated fixed64 digest = 1;</code>
+       * @param index The index of the element to return.
+       * @return The digest at the given index.
+       */
+      public long getDigest(int index) {
+        return digest_.getLong(index);
+      }
+      /**
+       * <code>repeated fixed64 digest = 1;</code>
+       * @param index The index to set the value at.
+       * @param value The digest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDigest(
+          int index, long value) {
+
+        ensureDigestIsMutable();
+        digest_.setLong(index, value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 digest = 1;</code>
+       * @param value The digest to add.
+       * @return This builder for chaining.
+       */
+      public Builder addDigest(long value) {
+
+        ensureDigestIsMutable();
+        digest_.addLong(value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 digest = 1;</code>
+       * @param values The digest to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllDigest(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureDigestIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, digest_);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated fixed64 digest = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDigest() {
+        digest_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
 
       // @@protoc_insertion_point(builder_scope:wigeonmast.membership.SyncRequest)
     }
@@ -9037,27 +9245,27 @@
       "ctPing\022\016\n\006number\030\001 \001(\004\022.\n\006target\030\002 \001(\0132\036" +
       ".wigeonmast.membership.Address\"0\n\rIndire" +
       "ctReply\022\016\n\006number\030\001 \001(\004\022\017\n\007reached\030\002 \001(\010" +
-      "\"\010\n\006Gossip\"\r\n\013SyncRequest\"\031\n\tSyncReply\022\014" +
-      "\n\004last\030\001 \001(\010\"\220\004\n\010Envelope\0223\n\006sender\030\001 \001(" +
-      "\0132#.wigeonmast.membership.MemberRecord\0224" +
-      "\n\007updates\030\002 \003(\0132#.wigeonmast.membership." +
-      "MemberRecord\022+\n\004ping\030\003 \001(\0132\033.wigeonmast." +
-      "membership.PingH\000\022A\n\017acknowledgement\030\004 \001" +
-      "(\0132&.wigeonmast.membership.Acknowledgeme" +
-      "ntH\000\022<\n\rindirect_ping\030\005 \001(\0132#.wigeonmast" +
-      ".membership.IndirectPingH\000\022>\n\016indirect_r" +
-      "eply\030\006 \001(\0132$.wigeonmast.membership.Indir" +
-      "ectReplyH\000\022/\n\006gossip\030\007 \001(\0132\035.wigeonmast." +
-      "membership.GossipH\000\022:\n\014sync_request\030\010 \001(" +
-      "\0132\".wigeonmast.membership.SyncRequestH\000\022" +
-      "6\n\nsync_reply\030\t \001(\0132 .wigeonmast.members" +
-      "hip.SyncReplyH\000B\006\n\004body*V\n\005Phase\022\025\n\021PHAS" +
-      "E_UNSPECIFIED\020\000\022\022\n\016PHASE_STARTING\020\001\022\017\n\013P" +
-      "HASE_READY\020\002\022\021\n\rPHASE_LEAVING\020\003*@\n\006Statu" +
-      "s\022\017\n\013STATUS_LIVE\020\000\022\024\n\020STATUS_SUSPECTED\020\001" +
-      "\022\017\n\013STATUS_DEAD\020\002BA\n+org.wigeonmast.memb" +
-      "ership.internal.protocolB\022MembershipProt" +
-      "ocolb\006proto3"
+      "\"\010\n\006Gossip\"\035\n\013SyncRequest\022\016\n\006digest\030\001 \003(" +
+      "\006\"\031\n\tSyncReply\022\014\n\004last\030\001 \001(\010\"\220\004\n\010Envelop" +
+      "e\0223\n\006sender\030\001 \001(\0132#.wigeonmast.membershi" +
+      "p.MemberRecord\0224\n\007updates\030\002 \003(\0132#.wigeon" +
+      "mast.membership.MemberRecord\022+\n\004ping\030\003 \001" +
+      "(\0132\033.wigeonmast.membership.PingH\000\022A\n\017ack" +
+      "nowledgement\030\004 \001(\0132&.wigeonmast.membersh" +
+      "ip.AcknowledgementH\000\022<\n\rindirect_ping\030\005 " +
+      "\001(\0132#.wigeonmast.membership.IndirectPing" +
+      "H\000\022>\n\016indirect_reply\030\006 \001(\0132$.wigeonmast." +
+      "membership.IndirectReplyH\000\022/\n\006gossip\030\007 \001" +
+      "(\0132\035.wigeonmast.membership.GossipH\000\022:\n\014s" +
+      "ync_request\030\010 \001(\0132\".wigeonmast.membershi" +
+      "p.SyncRequestH\000\0226\n\nsync_reply\030\t \001(\0132 .wi" +
+      "geonmast.membership.SyncReplyH\000B\006\n\004body*" +
+      "V\n\005Phase\022\025\n\021PHASE_UNSPECIFIED\020\000\022\022\n\016PHASE" +
+      "_STARTING\020\001\022\017\n\013PHASE_READY\020\002\022\021\n\rPHASE_LE" +
+      "AVING\020\003*@\n\006Status\022\017\n\013STATUS_LIVE\020\000\022\024\n\020ST" +
+      "ATUS_SUSPECTED\020\001\022\017\n\013STATUS_DEAD\020\002BA\n+org" +
+      ".wigeonmast.membership.internal.protocol" +
+      "B\022MembershipProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -9116,7 +9324,7 @@
     internal_static_wigeonmast_membership_SyncRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wigeonmast_membership_SyncRequest_descriptor,
-        new java.lang.String[] { });
+        new java.lang.String[] { "Digest", });
     internal_static_wigeonmast_membership_SyncReply_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_wigeonmast_membership_SyncReply_fieldAccessorTable = new
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
@@ -7,11 +7,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.function.Predicate;
 
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.jspecify.annotations.Nullable;
-import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.Region;
 import org.wigeonmast.core.ServiceName;
 import org.wigeonmast.membership.Member;
@@ -39,7 +38,7 @@
 
 	private final Map<Key, List<Member>> ranks = new HashMap<>();
 
-	private Set<DaemonId> readyIds = Set.of();
+	private final Map<Region, List<Member>> readers = new HashMap<>();
 
 	/**
 	 * Replaces the members.
@@ -49,6 +48,7 @@
 		this.ready = candidates(live, (member) -> member.phase() == MemberPhase.READY);
 		this.reading = candidates(live, (member) -> member.phase() != MemberPhase.LEAVING);
 		this.ranks.clear();
+		this.readers.clear();
 	}
 
 	/**
@@ -81,12 +81,11 @@
 	 * @return at most {@link #READERS_PER_REGION} members in the order of their rank
 	 */
 	public List<Member> readers(Region region) {
-		List<Member> rank = sorted(READERS_KEY, region, this.reading);
-		return List.copyOf(rank.subList(0, Math.min(READERS_PER_REGION, rank.size())));
+		return this.readers.computeIfAbsent(region,
+				(key) -> sorted(READERS_KEY, region, this.reading).stream().limit(READERS_PER_REGION).toList());
 	}
 
-	private static Map<Region, List<Candidate>> candidates(Collection<Member> live,
-			java.util.function.Predicate<Member> filter) {
+	private static Map<Region, List<Candidate>> candidates(Collection<Member> live, Predicate<Member> filter) {
 		Map<Region, List<Candidate>> byRegion = new HashMap<>();
 		for (Member member : live) {
 			if (filter.test(member)) {
--- a/wigeonmast-testing/src/main/java/org/wigeonmast/testing/FakeNetwork.java
+++ b/wigeonmast-testing/src/main/java/org/wigeonmast/testing/FakeNetwork.java
@@ -5,11 +5,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BiPredicate;
 import java.util.function.ToLongBiFunction;
 import java.util.random.RandomGenerator;
 
 /**
- * Network in virtual time with delay, loss and one-way cuts.
+ * Network in virtual time with delay, loss, duplication, reordering and one-way cuts.
  * <p>
  * Thread safety: none. Invariant: a message that crosses a cut at the time of sending or
  * of arrival is lost.
@@ -29,8 +30,14 @@
 
 	private final Set<Direction<A>> cuts = new HashSet<>();
 
+	private BiPredicate<A, A> cutWhere = (from, to) -> false;
+
 	private double loss;
 
+	private double duplication;
+
+	private long jitter;
+
 	/**
 	 * Creates a network.
 	 * @param queue the event queue
@@ -68,6 +75,32 @@
 		this.loss = loss;
 	}
 
+	/**
+	 * Sets the share of messages that arrive twice.
+	 * @param duplication the share, 0 to 1
+	 */
+	public void setDuplication(double duplication) {
+		this.duplication = duplication;
+	}
+
+	/**
+	 * Sets the greatest random delay on top of the delay between two addresses, which
+	 * reorders messages.
+	 * @param jitter the delay in microseconds
+	 */
+	public void setJitter(long jitter) {
+		this.jitter = jitter;
+	}
+
+	/**
+	 * Cuts all directions that match, in place of an earlier condition; a condition costs
+	 * less memory than one cut for each pair of a large fleet.
+	 * @param condition takes the sender and the receiver
+	 */
+	public void cutWhere(BiPredicate<A, A> condition) {
+		this.cutWhere = condition;
+	}
+
 	/**
 	 * Cuts one direction.
 	 * @param from the sender
@@ -80,6 +113,7 @@
 	/** Heals all cuts. */
 	public void heal() {
 		this.cuts.clear();
+		this.cutWhere = (from, to) -> false;
 	}
 
 	/**
@@ -90,15 +124,30 @@
 	 */
 	public void send(A from, A to, M message) {
 		Direction<A> direction = new Direction<>(from, to);
-		if (this.cuts.contains(direction) || this.random.nextDouble() < this.loss) {
+		if (isCut(direction) || this.random.nextDouble() < this.loss) {
 			return;
 		}
-		this.queue.schedule(this.delay.applyAsLong(from, to), () -> deliver(direction, message));
+		schedule(direction, message);
+		if (this.duplication > 0 && this.random.nextDouble() < this.duplication) {
+			schedule(direction, message);
+		}
+	}
+
+	private void schedule(Direction<A> direction, M message) {
+		long delayed = this.delay.applyAsLong(direction.from, direction.to);
+		if (this.jitter > 0) {
+			delayed += this.random.nextLong(this.jitter);
+		}
+		this.queue.schedule(delayed, () -> deliver(direction, message));
+	}
+
+	private boolean isCut(Direction<A> direction) {
+		return this.cuts.contains(direction) || this.cutWhere.test(direction.from, direction.to);
 	}
 
 	private void deliver(Direction<A> direction, M message) {
 		BiConsumer<A, M> receiver = this.receivers.get(direction.to);
-		if (receiver != null && !this.cuts.contains(direction)) {
+		if (receiver != null && !isCut(direction)) {
 			receiver.accept(direction.from, message);
 		}
 	}
