--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/SimulatedDaemon.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/SimulatedDaemon.java
@@ -239,7 +239,6 @@
 		this.viewDue = Long.MAX_VALUE;
 		List<Member> live = this.membership.live();
 		this.ownership.update(live);
-		this.fleet.viewChanged(this);
 		this.carryOutFollow(this.follower.handle(this.queue.milliseconds(), peersChanged(live)));
 	}
 
@@ -275,7 +274,7 @@
 					this.fleet.store().watchIndex(caller(), watch.knownHash(), watch.waitTime());
 				case FollowEffect.ReadPart read -> this.fleet.store().readPart(caller(), read.hash());
 				case FollowEffect.Apply apply -> {
-					this.fleet.applied(this, apply.manifest().version());
+					this.fleet.applied(this);
 					give(new MembershipInput.ManifestInForce(this.follower.inForce()));
 				}
 				case FollowEffect.ReadinessChanged change ->
--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/SimulatedFleet.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/SimulatedFleet.java
@@ -51,9 +51,6 @@
 	private Consumer<SimulatedDaemon> onApplied = (daemon) -> {
 	};
 
-	private Consumer<SimulatedDaemon> onViewChanged = (daemon) -> {
-	};
-
 	private boolean encoding;
 
 	private boolean measuring;
@@ -128,10 +125,6 @@
 		this.onApplied = listener;
 	}
 
-	void setOnViewChanged(Consumer<SimulatedDaemon> listener) {
-		this.onViewChanged = listener;
-	}
-
 	/**
 	 * Starts all daemons within a second and runs until all are ready.
 	 * @param limit the greatest time in seconds
@@ -220,14 +213,10 @@
 		this.network.send(from.address(), to, packet);
 	}
 
-	void applied(SimulatedDaemon daemon, long version) {
+	void applied(SimulatedDaemon daemon) {
 		this.onApplied.accept(daemon);
 	}
 
-	void viewChanged(SimulatedDaemon daemon) {
-		this.onViewChanged.accept(daemon);
-	}
-
 	long storeDelay(SimulatedDaemon daemon) {
 		return this.shape.delay(this.shape.domains().getFirst(), daemon.member().failureDomain());
 	}
--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/SimulatedStore.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/SimulatedStore.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 
 import org.wigeonmast.manifest.follow.FollowInput;
 import org.wigeonmast.testing.EventQueue;
@@ -41,6 +40,15 @@
 		this.watches.clear();
 	}
 
+	/** Publishes the newest version to one watch only; the others stay silent. */
+	void publishToOne() {
+		this.served = this.manifests.indexHash();
+		if (!this.watches.isEmpty()) {
+			this.watches.getFirst().caller.answer(index());
+		}
+		this.watches.clear();
+	}
+
 	/**
 	 * Makes the store answer nobody, or answer again.
 	 * @param value whether it is away
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -122,6 +122,16 @@
 		return this.table.liveCount() + 1;
 	}
 
+	/**
+	 * Returns whether another daemon counts as live here.
+	 * @param name the daemon's name
+	 * @return whether it is known, was not declared dead and is reachable
+	 */
+	public boolean isLive(String name) {
+		Entry entry = this.table.get(name);
+		return entry != null && !entry.isDead() && !entry.unreachable();
+	}
+
 	/**
 	 * Returns whether this daemon has joined the fleet or has given up waiting.
 	 * @return whether the view is complete as far as it can be
