--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/DaemonAddresses.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/DaemonAddresses.java
@@ -9,6 +9,7 @@
  *
  * @param callers where callers connect
  * @param peers where other daemons connect
+ * @param operators where operators connect
  */
-public record DaemonAddresses(HostAddress callers, HostAddress peers) {
+public record DaemonAddresses(HostAddress callers, HostAddress peers, HostAddress operators) {
 }
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonAssembly.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonAssembly.java
@@ -2,6 +2,7 @@
 
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,13 +12,19 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.jspecify.annotations.Nullable;
+import org.wigeonmast.admin.AdminServer;
+import org.wigeonmast.admin.AdminSources;
+import org.wigeonmast.admin.AuditTrail;
+import org.wigeonmast.admin.Readiness;
 import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.AuditKind;
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.core.Step;
 import org.wigeonmast.core.WigeonmastException;
 import org.wigeonmast.daemon.DaemonAddresses;
 import org.wigeonmast.daemon.DaemonEvent;
@@ -68,6 +75,14 @@
 
 	private final MetricRegistry metrics = new MetricRegistry();
 
+	private final AuditTrail trail;
+
+	private final OperatorView operators;
+
+	private volatile String reason = "starting";
+
+	private volatile @Nullable AdminServer admin;
+
 	private final Set<BackendServerId> ejected = ConcurrentHashMap.newKeySet();
 
 	private final AtomicBoolean closed = new AtomicBoolean();
@@ -88,6 +103,7 @@
 		// host without a disk.
 		this.self = new DaemonId(settings.name(), clock.timeOfDay().toEpochMilli());
 		this.control = new ControlThread(clock);
+		this.trail = new AuditTrail(clock, settings.limits().auditEntries());
 		RandomGenerator random = RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(new SecureRandom().nextLong());
 		this.messenger = new PeerMessenger(this.control,
 				new LinkSettings(this.self, settings.peers().address(), settings.peers().key()));
@@ -96,6 +112,8 @@
 				this);
 		this.dispatch = new DispatchShell(this.control, settings, this.self, this.messenger, this.health, random,
 				this.metrics, this::audit);
+		this.operators = new OperatorView(this.control, this.fleet.self(), this.fleet, this.health, this.dispatch,
+				this.trail, () -> this.reason);
 	}
 
 	/**
@@ -104,14 +122,18 @@
 	 * @throws WigeonmastException if an address cannot be bound
 	 */
 	public DaemonAddresses start() throws WigeonmastException {
+		AdminServer operatorServer = new AdminServer(this.settings.admin(),
+				new AdminSources(() -> new Readiness(isReady(), this.reason), this.operators::status,
+						this.operators::explain, this.trail, this.metrics));
+		this.admin = operatorServer;
 		HostAddress callers = this.dispatch.start();
 		this.control.execute(() -> {
 			this.messenger.start();
 			this.health.start();
 			this.fleet.start();
 		});
-		DaemonAddresses addresses = new DaemonAddresses(callers, this.messenger.address());
-		this.log.log(DaemonEvent.STARTED, this.self, addresses.callers(), addresses.peers(), this.settings.admin());
+		DaemonAddresses addresses = new DaemonAddresses(callers, this.messenger.address(), operatorServer.address());
+		this.log.log(DaemonEvent.STARTED, this.self, addresses.callers(), addresses.peers(), addresses.operators());
 		return addresses;
 	}
 
@@ -144,6 +166,10 @@
 	@Override
 	public void close() {
 		if (this.closed.compareAndSet(false, true)) {
+			AdminServer operatorServer = this.admin;
+			if (operatorServer != null) {
+				operatorServer.close();
+			}
 			this.dispatch.close();
 			this.prober.close();
 			this.messenger.close();
@@ -162,17 +188,20 @@
 	public void manifestApplied(Manifest manifest) {
 		this.dispatch.apply(manifest);
 		this.health.apply(manifest);
+		this.operators.manifestApplied();
 		membersChanged();
 	}
 
 	@Override
 	public void readinessChanged(boolean isReady) {
 		this.ready = isReady;
+		this.reason = isReady ? "serves manifest " + this.fleet.inForce() : "members have to confirm the manifest";
+		lifecycle(isReady ? "ready" : "not ready");
 		if (isReady) {
 			this.log.log(DaemonEvent.READY, this.fleet.inForce().version());
 		}
 		else {
-			this.log.log(DaemonEvent.NOT_READY, "peers have to confirm the manifest in force");
+			this.log.log(DaemonEvent.NOT_READY, this.reason);
 		}
 	}
 
@@ -232,6 +261,8 @@
 			return;
 		}
 		this.stopping = true;
+		this.reason = "stopping";
+		lifecycle("stopping");
 		this.log.log(DaemonEvent.STOPPING, this.dispatch.active());
 		this.fleet.leave();
 		this.control.schedule(READINESS_GRACE_MILLISECONDS,
@@ -246,8 +277,13 @@
 		this.stopped.complete(null);
 	}
 
+	private void lifecycle(String state) {
+		audit(new AuditEntry(this.control.clock().milliseconds(), AuditKind.LIFECYCLE, this.self.toString(), Step.START,
+				this.self.toString(), Map.of("state", state)));
+	}
+
 	private void audit(AuditEntry entry) {
-		// The audit trail is connected with the operators' interface.
+		this.trail.add(entry);
 	}
 
 }
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DispatchShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DispatchShell.java
@@ -1,8 +1,10 @@
 package org.wigeonmast.daemon.internal;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -21,6 +23,7 @@
 import org.wigeonmast.dispatch.DispatchCodec;
 import org.wigeonmast.dispatch.DispatchEffect;
 import org.wigeonmast.dispatch.DispatchMessage;
+import org.wigeonmast.dispatch.DispatchMode;
 import org.wigeonmast.dispatch.OwnedServices;
 import org.wigeonmast.dispatch.OwnerInput;
 import org.wigeonmast.dispatch.QueueOrder;
@@ -34,6 +37,7 @@
 import org.wigeonmast.proxy.ProxyServer;
 import org.wigeonmast.proxy.ProxyStartException;
 import org.wigeonmast.settings.DaemonSettings;
+import org.wigeonmast.settings.LimitSettings;
 import org.wigeonmast.wire.Slice;
 
 /**
@@ -54,6 +58,8 @@
 
 	private final Set<ServiceName> services = new HashSet<>();
 
+	private final Map<ServiceName, DispatchMode> modes = new HashMap<>();
+
 	private final Region region;
 
 	private final RequestCoordinator coordinator;
@@ -100,6 +106,10 @@
 		return this.proxy.start();
 	}
 
+	DispatchMode mode(ServiceName service) {
+		return this.modes.getOrDefault(service, DispatchMode.DIRECT);
+	}
+
 	int active() {
 		return this.coordinator.active();
 	}
@@ -115,6 +125,7 @@
 		this.routing = manifest;
 		for (ServiceName service : removed) {
 			this.services.remove(service);
+			this.modes.remove(service);
 			this.coordinatorDriver.handle(new CoordinatorInput.ServiceRemoved(service));
 			this.ownerDriver.handle(new OwnerInput.ServiceRemoved(service));
 		}
@@ -174,6 +185,9 @@
 		if (message instanceof DispatchMessage.OutcomeReport report) {
 			this.health.reported(sender, report);
 		}
+		else if (message instanceof DispatchMessage.DispatchAdvice advice) {
+			this.modes.put(advice.service(), advice.mode());
+		}
 		this.ownerDriver.handle(new OwnerInput.Received(sender, message));
 		this.coordinatorDriver.handle(new CoordinatorInput.Received(sender, message));
 	}
@@ -225,9 +239,15 @@
 	}
 
 	private static ProxyConfiguration configuration(DaemonSettings settings) {
-		ProxyConfiguration defaults = ProxyConfiguration.defaults(settings.callers());
-		return new ProxyConfiguration(settings.callers(), settings.name(), settings.limits().callerConnections(),
-				defaults.limits(), defaults.timeouts());
+		LimitSettings chosen = settings.limits();
+		ProxyConfiguration.Limits sizes = ProxyConfiguration.Limits.DEFAULTS;
+		ProxyConfiguration.Timeouts times = ProxyConfiguration.Timeouts.DEFAULTS;
+		return new ProxyConfiguration(settings.callers(), settings.name(), chosen.callerConnections(),
+				new ProxyConfiguration.Limits(sizes.requestLine(), chosen.headSize(), sizes.body(),
+						chosen.replayBodySize(), sizes.replayableBodies(), sizes.unsentBytes()),
+				new ProxyConfiguration.Timeouts(chosen.headTimeout(), chosen.bodyTimeout(), chosen.idleTimeout(),
+						times.request(), times.connect(), times.backendIdle(), times.proven(), times.drainIdle(),
+						times.retryAfter()));
 	}
 
 }
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
@@ -125,6 +125,10 @@
 		return this.ownership;
 	}
 
+	Member self() {
+		return this.members.self();
+	}
+
 	List<Member> live() {
 		return this.members.live();
 	}
@@ -145,6 +149,10 @@
 		return this.follower.isReady();
 	}
 
+	boolean isCutOff() {
+		return this.follower.isCutOff();
+	}
+
 	private boolean isReader() {
 		return readerRank() != FollowInput.PeersChanged.NO_READER;
 	}
--- a/wigeonmast-verification/src/test/java/org/wigeonmast/verification/LoopbackFleet.java
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/LoopbackFleet.java
@@ -1,6 +1,8 @@
 package org.wigeonmast.verification;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -54,6 +56,8 @@
 
 	private final List<Daemon> daemons = new ArrayList<>();
 
+	private final List<DaemonProcess> processes = new ArrayList<>();
+
 	private final List<DaemonAddresses> addresses = new ArrayList<>();
 
 	LoopbackFleet(int serverCount) throws InterruptedException {
@@ -105,8 +109,23 @@
 		return daemon;
 	}
 
+	/**
+	 * Starts a daemon as a process of its own.
+	 * @param name its name
+	 * @param directory where its settings file and output are written
+	 * @return the process
+	 */
+	DaemonProcess startProcess(String name, Path directory) throws IOException {
+		List<HostAddress> seeds = this.addresses.stream().map(DaemonAddresses::peers).toList();
+		DaemonProcess process = DaemonProcess.start(name, directory, this.platform.baseUrl(), seeds);
+		this.addresses.add(process.addresses());
+		this.processes.add(process);
+		return process;
+	}
+
 	void awaitReady() {
-		await(() -> this.daemons.stream().allMatch(Daemon::isReady), "all daemons are ready");
+		await(() -> this.daemons.stream().allMatch(Daemon::isReady)
+				&& this.processes.stream().allMatch(DaemonProcess::isReady), "all daemons are ready");
 	}
 
 	boolean isEjected(String server) {
@@ -135,6 +154,7 @@
 	@Override
 	public void close() {
 		this.daemons.forEach(Daemon::close);
+		this.processes.forEach(DaemonProcess::kill);
 		this.servers.forEach(StandInBackendServer::close);
 		this.platform.close();
 	}
