--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/Main.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/Main.java
@@ -135,6 +135,7 @@
 				AuditCommand audit = new AuditCommand(this.out, this.errors).setSince(since(line));
 				yield withAdmins(line, operands, 0, audit, audit::addAdmin);
 			}
+			case "demo" -> new DemoCommand(this.out);
 			default -> throw new ParseException("there is no command '" + arguments.getFirst() + "'");
 		};
 	}
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoFleet.java
@@ -0,0 +1,131 @@
+package org.wigeonmast.cli.demo;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.apache.logging.log4j.Level;
+import org.wigeonmast.cli.standin.StandInBackendServer;
+import org.wigeonmast.cli.standin.StandInPlatform;
+import org.wigeonmast.cli.standin.WorkProfile;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.WigeonmastException;
+import org.wigeonmast.daemon.Daemon;
+import org.wigeonmast.manifest.store.PlatformHost;
+import org.wigeonmast.settings.DaemonSettings;
+import org.wigeonmast.settings.LimitSettings;
+import org.wigeonmast.settings.PeerSettings;
+import org.wigeonmast.core.SharedKey;
+import org.wigeonmast.settings.StoreSettings;
+
+/**
+ * The stand-in platform, backend servers and daemons of the demo, all on the loopback
+ * address.
+ * <p>
+ * Thread safety: usable from any thread.
+ */
+final class DemoFleet implements AutoCloseable {
+
+	/** Slots of each backend server. */
+	static final int SLOTS = 2;
+
+	private static final int SERVERS = 3;
+
+	private static final int DAEMONS = 3;
+
+	private static final int QUEUE_LIMIT = 20;
+
+	/** Mean time of service in milliseconds. */
+	private static final long SERVICE_TIME = 20;
+
+	private static final int ANSWER_SIZE = 2_000;
+
+	/** Time in milliseconds that a watch waits; short, so that the demo ends soon. */
+	private static final long WATCH_WAIT = 5_000;
+
+	private static final String LOOPBACK = "127.0.0.1";
+
+	private final StandInPlatform platform = new StandInPlatform();
+
+	private final List<StandInBackendServer> servers = new ArrayList<>();
+
+	private final List<DemoDaemon> daemons = new ArrayList<>();
+
+	DemoFleet(long seed) throws InterruptedException {
+		for (int i = 1; i <= SERVERS; i++) {
+			this.servers.add(new StandInBackendServer("rota-" + i, SLOTS, QUEUE_LIMIT,
+					List.of(new WorkProfile("/", SERVICE_TIME, ANSWER_SIZE)), seed + i));
+		}
+	}
+
+	void start() throws WigeonmastException, IOException {
+		this.platform.publish(DemoManifest.first(this.servers, DAEMONS));
+		List<HostAddress> links = new ArrayList<>();
+		for (int i = 0; i < DAEMONS; i++) {
+			links.add(freeAddress());
+		}
+		List<PlatformHost> hosts = new ArrayList<>();
+		links.forEach((link) -> hosts.add(new PlatformHost(PlatformHost.Role.ENTRY, link, false)));
+		this.servers
+			.forEach((server) -> hosts.add(new PlatformHost(PlatformHost.Role.BACKEND, server.address(), false)));
+		this.platform.publishHosts(hosts);
+		FailureDomain domain = new FailureDomain(new Region("addis"), "a");
+		SharedKey key = new SharedKey(new byte[SharedKey.LEAST_LENGTH]);
+		for (int i = 0; i < DAEMONS; i++) {
+			HostAddress admin = freeAddress();
+			DaemonSettings settings = new DaemonSettings("entry-" + (i + 1), domain, Level.ERROR,
+					new HostAddress(LOOPBACK, 0), new PeerSettings(links.get(i), links, key), admin,
+					new StoreSettings(this.platform.baseUrl(), StoreSettings.DEFAULT_CALL_TIMEOUT, WATCH_WAIT),
+					LimitSettings.defaults());
+			Daemon daemon = new Daemon(settings);
+			this.daemons.add(new DemoDaemon(settings.name(), daemon, daemon.start().callers(), admin));
+		}
+	}
+
+	void publishSecondManifest() {
+		this.platform.publish(DemoManifest.second(this.servers, DAEMONS));
+	}
+
+	List<StandInBackendServer> servers() {
+		return this.servers;
+	}
+
+	List<DemoDaemon> daemons() {
+		return this.daemons;
+	}
+
+	@Override
+	public void close() {
+		this.daemons.forEach((daemon) -> daemon.daemon().close());
+		this.servers.forEach(StandInBackendServer::close);
+		this.platform.close();
+	}
+
+	private static HostAddress freeAddress() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.ofLiteral(LOOPBACK))) {
+			return new HostAddress(LOOPBACK, socket.getLocalPort());
+		}
+	}
+
+	/**
+	 * A daemon of the demo.
+	 *
+	 * @param name the name
+	 * @param daemon the daemon
+	 * @param callers where callers connect
+	 * @param admin where operators connect
+	 */
+	record DemoDaemon(String name, Daemon daemon, HostAddress callers, HostAddress admin) {
+
+		boolean isEjected(StandInBackendServer server) {
+			return this.daemon.isEjected(new BackendServerId(server.name()));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoLoad.java
@@ -0,0 +1,203 @@
+package org.wigeonmast.cli.demo;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.wigeonmast.cli.demo.DemoCall.Result;
+import org.wigeonmast.cli.demo.DemoFleet.DemoDaemon;
+import org.wigeonmast.cli.standin.AnswerBody;
+import org.wigeonmast.cli.standin.StandInBackendServer;
+import org.wigeonmast.core.MillisecondClock;
+
+/**
+ * Callers that send requests at a steady rate, whether or not earlier ones have ended,
+ * through a load balancer that takes ready daemons in turn.
+ * <p>
+ * Thread safety: usable from any thread.
+ */
+final class DemoLoad implements AutoCloseable {
+
+	private static final long REQUESTS_PER_SECOND = 60;
+
+	/** Every fifth request is non-idempotent. */
+	private static final int CLAIM_EVERY = 5;
+
+	private static final int GREATEST_CALLS = 256;
+
+	private static final long CALL_TIMEOUT = 5_000;
+
+	private static final int ANSWER_SIZE = 2_000;
+
+	private static final int OK = 200;
+
+	private final MillisecondClock clock = MillisecondClock.system();
+
+	private final ScheduledExecutorService timer = Executors
+		.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("demo-load").daemon().factory());
+
+	private final Queue<DemoCall> calls = new ConcurrentLinkedQueue<>();
+
+	private final AtomicInteger sent = new AtomicInteger();
+
+	private final List<DemoDaemon> daemons;
+
+	private final OkHttpClient client;
+
+	DemoLoad(List<DemoDaemon> daemons) {
+		this.daemons = daemons;
+		Dispatcher dispatcher = new Dispatcher(
+				Executors.newCachedThreadPool(Thread.ofPlatform().name("demo-caller-", 0).daemon().factory()));
+		dispatcher.setMaxRequests(GREATEST_CALLS);
+		dispatcher.setMaxRequestsPerHost(GREATEST_CALLS);
+		this.client = new OkHttpClient.Builder().dispatcher(dispatcher)
+			.retryOnConnectionFailure(false)
+			.callTimeout(Duration.ofMillis(CALL_TIMEOUT))
+			.build();
+	}
+
+	void start() {
+		this.timer.scheduleAtFixedRate(this::send, 0, TimeUnit.SECONDS.toMicros(1) / REQUESTS_PER_SECOND,
+				TimeUnit.MICROSECONDS);
+	}
+
+	/**
+	 * Stops to send and waits until all requests have ended.
+	 */
+	void finish() throws InterruptedException {
+		this.timer.shutdown();
+		this.timer.awaitTermination(CALL_TIMEOUT, TimeUnit.MILLISECONDS);
+		this.client.dispatcher().executorService().shutdown();
+		this.client.dispatcher().executorService().awaitTermination(2 * CALL_TIMEOUT, TimeUnit.MILLISECONDS);
+	}
+
+	int sent() {
+		return this.sent.get();
+	}
+
+	List<DemoCall> calls() {
+		return List.copyOf(this.calls);
+	}
+
+	/**
+	 * Asks a daemon for a path.
+	 * @param daemon the daemon
+	 * @param path the path
+	 * @return the status, 0 without an answer
+	 */
+	int probe(DemoDaemon daemon, String path) {
+		try (Response response = this.client
+			.newCall(new Request.Builder().url("http://" + daemon.callers() + path).build())
+			.execute()) {
+			return response.code();
+		}
+		catch (IOException exception) {
+			return 0;
+		}
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		this.client.dispatcher().cancelAll();
+		this.client.dispatcher().executorService().shutdown();
+	}
+
+	private void send() {
+		List<DemoDaemon> ready = this.daemons.stream().filter((daemon) -> daemon.daemon().isReady()).toList();
+		if (ready.isEmpty()) {
+			return;
+		}
+		int number = this.sent.incrementAndGet();
+		String id = "request-" + number;
+		boolean idempotent = number % CLAIM_EVERY != 0;
+		DemoDaemon daemon = ready.get(number % ready.size());
+		Request.Builder request = new Request.Builder()
+			.url("http://" + daemon.callers() + (idempotent ? DemoManifest.BOARD : DemoManifest.CLAIMS))
+			.header(StandInBackendServer.REQUEST_ID, id)
+			.header("Caller-Id", "kitchen-" + number % 3);
+		if (!idempotent) {
+			request.post(RequestBody.create(new byte[0], null))
+				.header("Idempotency-Key", id)
+				.header("Request-Attempt", "1");
+		}
+		this.client.newCall(request.build()).enqueue(new Ending(id, idempotent, this.clock.milliseconds()));
+	}
+
+	private final class Ending implements Callback {
+
+		private final String id;
+
+		private final boolean idempotent;
+
+		private final long start;
+
+		private Ending(String id, boolean idempotent, long start) {
+			this.id = id;
+			this.idempotent = idempotent;
+			this.start = start;
+		}
+
+		@Override
+		public void onFailure(Call call, IOException exception) {
+			end(Result.BROKEN, String.valueOf(exception.getMessage()));
+		}
+
+		@Override
+		public void onResponse(Call call, Response response) {
+			try (response) {
+				byte[] body = response.body().bytes();
+				if (response.header(StandInBackendServer.SERVER) != null) {
+					endAnswered(response, body);
+				}
+				else {
+					String text = new String(body, StandardCharsets.UTF_8);
+					end(refusal(text), response.code() + " " + text);
+				}
+			}
+			catch (IOException exception) {
+				end(Result.BROKEN, String.valueOf(exception.getMessage()));
+			}
+		}
+
+		private Result refusal(String problem) {
+			if (problem.contains("\"not-run\"")) {
+				return Result.NOT_RUN;
+			}
+			return problem.contains("\"unknown\"") ? Result.UNKNOWN : Result.BROKEN;
+		}
+
+		private void endAnswered(Response response, byte[] body) {
+			boolean own = this.id.equals(response.header(StandInBackendServer.REQUEST_ID));
+			if (response.code() != OK) {
+				end(own ? Result.FAILED : Result.FOREIGN, "status " + response.code());
+			}
+			else {
+				boolean complete = Arrays.equals(body, AnswerBody.of(this.id, ANSWER_SIZE));
+				end((own && complete) ? Result.ANSWERED : Result.FOREIGN, "");
+			}
+		}
+
+		private void end(Result result, String detail) {
+			long duration = DemoLoad.this.clock.milliseconds() - this.start;
+			DemoLoad.this.calls.add(new DemoCall(this.id, this.idempotent, this.start, duration, result, detail));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoScript.java
@@ -0,0 +1,203 @@
+package org.wigeonmast.cli.demo;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+import org.wigeonmast.cli.AuditCommand;
+import org.wigeonmast.cli.demo.DemoFleet.DemoDaemon;
+import org.wigeonmast.cli.standin.ServerFaults;
+import org.wigeonmast.cli.standin.StandInBackendServer;
+import org.wigeonmast.core.MillisecondClock;
+import org.wigeonmast.core.WigeonmastException;
+
+/**
+ * The course of events of the demo.
+ * <p>
+ * Thread safety: none; one thread runs it.
+ */
+public final class DemoScript implements AutoCloseable {
+
+	private static final long SEED = 1;
+
+	private static final int SLOWDOWN = 10;
+
+	private static final double FAILING_SHARE = 0.5;
+
+	/** Times in milliseconds; each wait ends earlier when what it waits for happens. */
+	private static final long START_LIMIT = 15_000;
+
+	private static final long HEALTHY_TIME = 4_000;
+
+	private static final long EJECTION_LIMIT = 6_000;
+
+	private static final long FAILING_TIME = 3_000;
+
+	private static final long RETURN_LIMIT = 15_000;
+
+	private static final long MANIFEST_LIMIT = 8_000;
+
+	private static final long STOP_LIMIT = 10_000;
+
+	private static final long PAUSE = 20;
+
+	private final MillisecondClock clock = MillisecondClock.system();
+
+	private final List<Phase> phases = new ArrayList<>();
+
+	private final PrintStream out;
+
+	private final DemoFleet fleet;
+
+	private final DemoObserver observer;
+
+	private final DemoLoad load;
+
+	private final DemoChecks checks;
+
+	private final long start;
+
+	/**
+	 * Creates a script with its own fleet.
+	 * @param out where the course of events is printed
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public DemoScript(PrintStream out) throws InterruptedException {
+		this.out = out;
+		this.start = this.clock.milliseconds();
+		this.fleet = new DemoFleet(SEED);
+		this.observer = new DemoObserver(this.fleet, this::tell);
+		this.load = new DemoLoad(this.fleet.daemons());
+		this.checks = new DemoChecks(out);
+	}
+
+	/**
+	 * Runs the script.
+	 * @return whether every guarantee held
+	 * @throws WigeonmastException if a daemon cannot start
+	 * @throws IOException if there is no free port
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean run() throws WigeonmastException, IOException, InterruptedException {
+		this.fleet.start();
+		long ready = await(START_LIMIT, () -> this.fleet.daemons().stream().allMatch((d) -> d.daemon().isReady()));
+		tell("3 daemons and 3 backend servers run; ready after " + ready + " ms");
+		this.observer.start();
+		this.load.start();
+		begin("all healthy");
+		Thread.sleep(HEALTHY_TIME);
+		boolean wrong = !this.observer.ejectedAnywhere().isEmpty();
+		long ejected = failGray();
+		long returned = recover();
+		long manifest = changeManifest();
+		long stopped = stopOneDaemon();
+		this.load.finish();
+		report();
+		this.checks.check(ready >= 0, "all daemons became ready");
+		this.checks.check(!wrong, "no healthy backend server was ejected");
+		this.checks.check(ejected >= 0, "the gray backend server was ejected, after " + ejected + " ms");
+		this.checks.check(ejected >= 0 && returned >= 0,
+				"the recovered backend server returned, after " + returned + " ms");
+		this.checks.check(this.observer.greatestEjected() <= this.fleet.servers().size() - DemoManifest.FLOOR,
+				"at most " + this.observer.greatestEjected() + " of 3 servers were ejected at once, with a floor of 2");
+		this.checks.check(manifest >= 0, "the new manifest was in force on all daemons, after " + manifest + " ms");
+		this.checks.check(stopped >= 0, "the planned stop ended, after " + stopped + " ms");
+		this.checks.checkCalls(this.load.sent(), this.load.calls(), this.fleet.servers());
+		return this.checks.allHeld();
+	}
+
+	@Override
+	public void close() {
+		this.load.close();
+		this.observer.close();
+		this.fleet.close();
+	}
+
+	private long failGray() throws InterruptedException {
+		StandInBackendServer gray = this.fleet.servers().get(1);
+		begin(gray.name() + " is " + SLOWDOWN + " times slower, its health endpoint says that it is healthy");
+		gray.setFaults(ServerFaults.none().withSlowdown(SLOWDOWN));
+		long ejected = await(EJECTION_LIMIT,
+				() -> this.fleet.daemons().stream().allMatch((daemon) -> daemon.isEjected(gray)));
+		Thread.sleep(FAILING_TIME);
+		begin(gray.name() + " answers at normal speed and fails half its work");
+		gray.setFaults(ServerFaults.none().withFailingShare(FAILING_SHARE));
+		Thread.sleep(FAILING_TIME);
+		return ejected;
+	}
+
+	private long recover() throws InterruptedException {
+		StandInBackendServer gray = this.fleet.servers().get(1);
+		begin(gray.name() + " is healthy again");
+		gray.setFaults(ServerFaults.none());
+		return await(RETURN_LIMIT, () -> this.observer.ejectedAnywhere().isEmpty());
+	}
+
+	private long changeManifest() throws InterruptedException {
+		begin("a manifest with a new route is published");
+		this.fleet.publishSecondManifest();
+		return await(MANIFEST_LIMIT,
+				() -> this.fleet.daemons()
+					.stream()
+					.allMatch((daemon) -> this.load.probe(daemon, DemoManifest.NEWS) == 200));
+	}
+
+	private long stopOneDaemon() throws InterruptedException {
+		DemoDaemon leaving = this.fleet.daemons().getLast();
+		begin(leaving.name() + " is stopped under load");
+		CompletableFuture<Void> stopped = leaving.daemon().stop();
+		long time = await(STOP_LIMIT, stopped::isDone);
+		Thread.sleep(FAILING_TIME);
+		return time;
+	}
+
+	private void report() {
+		this.out.println();
+		this.out.println("Requests by the time of sending:");
+		for (int i = 0; i < this.phases.size(); i++) {
+			long from = this.phases.get(i).start();
+			long to = (i + 1 < this.phases.size()) ? this.phases.get(i + 1).start() : Long.MAX_VALUE;
+			this.checks.print(this.phases.get(i).name(),
+					this.load.calls().stream().filter((call) -> call.sent() >= from && call.sent() < to).toList());
+		}
+		this.out.println();
+		this.out.println("Decisions, from the audit trails:");
+		AuditCommand audit = new AuditCommand(this.out, this.out);
+		this.fleet.daemons().subList(0, 2).forEach((daemon) -> audit.addAdmin(daemon.admin()));
+		try {
+			audit.call();
+		}
+		catch (Exception exception) {
+			this.checks.check(false, "the audit trails could be read: " + exception.getMessage());
+		}
+		this.out.println();
+		this.out.println("Guarantees:");
+	}
+
+	private void begin(String phase) {
+		this.phases.add(new Phase(phase, this.clock.milliseconds()));
+		tell(phase);
+	}
+
+	private void tell(String event) {
+		this.out.printf("%6.2f s  %s%n", (this.clock.milliseconds() - this.start) / 1_000.0, event);
+	}
+
+	private long await(long limit, BooleanSupplier condition) throws InterruptedException {
+		long begin = this.clock.milliseconds();
+		while (!condition.getAsBoolean()) {
+			if (this.clock.milliseconds() - begin > limit) {
+				return -1;
+			}
+			Thread.sleep(PAUSE);
+		}
+		return this.clock.milliseconds() - begin;
+	}
+
+	private record Phase(String name, long start) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * A fleet in one process with a scripted gray failure, and the checks of its guarantees.
+ */
+@NullMarked
+package org.wigeonmast.cli.demo;
+
+import org.jspecify.annotations.NullMarked;
