--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoFleet.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoFleet.java
@@ -14,13 +14,13 @@
 import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.Region;
+import org.wigeonmast.core.SharedKey;
 import org.wigeonmast.core.WigeonmastException;
 import org.wigeonmast.daemon.Daemon;
 import org.wigeonmast.manifest.store.PlatformHost;
 import org.wigeonmast.settings.DaemonSettings;
 import org.wigeonmast.settings.LimitSettings;
 import org.wigeonmast.settings.PeerSettings;
-import org.wigeonmast.core.SharedKey;
 import org.wigeonmast.settings.StoreSettings;
 
 /**
