--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/path/PathRounds.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/path/PathRounds.java
@@ -3,8 +3,10 @@
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 
 import org.HdrHistogram.Histogram;
 
@@ -17,9 +19,12 @@
 
 	private static final double TARGET_P99_MILLISECONDS = 1.6;
 
-	private static final double TARGET_PERCENTILE = 99;
+	private static final List<Double> PERCENTILES = List.of(50.0, 99.0, 99.9);
 
-	private static final List<Double> PERCENTILES = List.of(50.0, TARGET_PERCENTILE, 99.9);
+	private static final int TARGET_COLUMN = 1;
+
+	/** Share of the rounds that are taken for undisturbed by other load. */
+	private static final double QUIET_SHARE = 0.25;
 
 	private static final double SLICE_SECONDS = 0.5;
 
@@ -78,9 +83,11 @@
 					PERCENTILES.get(i), rank(directs, i, 0.5), rank(added, i, 0.5), rank(added, i, 0),
 					rank(added, i, 1));
 		}
+		this.out.printf(
+				"  p99 added %.3f ms in the median of the %d rounds with the lowest direct p99 (at most %.3f ms)%n",
+				quietRounds(directs, added), quietCount(rounds), rank(directs, TARGET_COLUMN, QUIET_SHARE));
 		usage.print(this.out, count);
-		boolean met = failures == 0
-				&& rank(added, PERCENTILES.indexOf(TARGET_PERCENTILE), 0.5) <= TARGET_P99_MILLISECONDS;
+		boolean met = failures == 0 && rank(added, TARGET_COLUMN, 0.5) <= TARGET_P99_MILLISECONDS;
 		this.out.printf("  target: p99 added at most %.1f ms in the median round: %s%n", TARGET_P99_MILLISECONDS,
 				met ? "met" : "missed");
 		return met;
@@ -101,6 +108,20 @@
 		return usage;
 	}
 
+	private static int quietCount(int rounds) {
+		return (int) Math.round(QUIET_SHARE * (rounds - 1)) + 1;
+	}
+
+	private static double quietRounds(List<List<Double>> directs, List<List<Double>> added) {
+		List<List<Double>> quiet = IntStream.range(0, directs.size())
+			.boxed()
+			.sorted(Comparator.comparingDouble((round) -> directs.get(round).get(TARGET_COLUMN)))
+			.limit(quietCount(directs.size()))
+			.map(added::get)
+			.toList();
+		return rank(quiet, TARGET_COLUMN, 0.5);
+	}
+
 	private static double rank(List<List<Double>> rounds, int column, double rank) {
 		List<Double> sorted = rounds.stream().map((round) -> round.get(column)).sorted().toList();
 		return sorted.get((int) Math.round(rank * (sorted.size() - 1)));
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -180,6 +180,9 @@
 		if (bound != null) {
 			bound.close();
 		}
+		if (this.group.isShuttingDown()) {
+			return;
+		}
 		this.eventLoop.execute(this.context::closeAll);
 		this.group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS).syncUninterruptibly();
 	}
