--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/AcceptedVersion.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/AcceptedVersion.java
@@ -4,6 +4,7 @@
 
 import org.wigeonmast.manifest.Manifest;
 import org.wigeonmast.manifest.ManifestIndex;
+import org.wigeonmast.manifest.ManifestPart;
 
 /**
  * An accepted manifest with the bytes from which peers are served.
@@ -21,4 +22,32 @@
 		return new VersionStamp(this.index.version(), this.index.hash());
 	}
 
+	/**
+	 * Returns the name of a part.
+	 * @param hash the hash of the part
+	 * @return the name, empty if there is no such part
+	 */
+	String nameOfPart(String hash) {
+		return this.index.parts()
+			.stream()
+			.filter((part) -> part.hash().equals(hash))
+			.map(ManifestPart::name)
+			.findFirst()
+			.orElse("");
+	}
+
+	/**
+	 * Returns the hash of a part.
+	 * @param name the name of the part
+	 * @return the hash, empty if there is no such part
+	 */
+	String hashOfPart(String name) {
+		return this.index.parts()
+			.stream()
+			.filter((part) -> part.name().equals(name))
+			.map(ManifestPart::hash)
+			.findFirst()
+			.orElse("");
+	}
+
 }
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/FollowSettings.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/FollowSettings.java
@@ -30,7 +30,7 @@
 	 * @return the settings
 	 */
 	public static FollowSettings standard() {
-		return new FollowSettings(3000, 1000, 1000, 500, 300, 1000, 2000, 3, 16, ONE_MEGABYTE, 10_000);
+		return new FollowSettings(3000, 1000, 1000, 500, 300, 1000, 2000, 3, 8, ONE_MEGABYTE, 10_000);
 	}
 
 }
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/ManifestFollower.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/ManifestFollower.java
@@ -112,6 +112,9 @@
 
 	private @Nullable AcceptedVersion accepted;
 
+	/** The version before, against which content for peers is compressed. */
+	private @Nullable AcceptedVersion previous;
+
 	private List<FollowEffect> effects = new ArrayList<>();
 
 	/**
@@ -172,7 +175,7 @@
 			}
 			case FollowInput.StorePart part -> {
 				storeAnswered(now);
-				receivePart(STORE, part.hash(), part.bytes());
+				receivePart(STORE, part.hash(), Content.plain(part.bytes()));
 			}
 			case FollowInput.StoreFailed failure -> {
 				this.store.failed(now);
@@ -225,7 +228,7 @@
 			case ManifestMessage.IndexRequest request -> serveIndex(from, request);
 			case ManifestMessage.IndexReply reply -> receiveIndex(now, from, reply);
 			case ManifestMessage.PartRequest request -> serveParts(from, request);
-			case ManifestMessage.PartReply reply -> receivePart(from, reply.hash(), reply.content().bytes());
+			case ManifestMessage.PartReply reply -> receivePart(from, reply.hash(), reply.content());
 		}
 	}
 
@@ -340,8 +343,8 @@
 		if (fetch == null || fetch.index() != null || !fetch.stamp().hash().equals(reply.hash())) {
 			return;
 		}
-		byte[] bytes = reply.content().bytes();
-		if (!ContentHash.of(bytes).equals(reply.hash())) {
+		byte[] bytes = decode(reply.content(), this.settings.maximumContent());
+		if (bytes == null || !ContentHash.of(bytes).equals(reply.hash())) {
 			report(FollowEvent.CONTENT_INVALID, reply.hash(), from, "wrong hash");
 			return;
 		}
@@ -353,23 +356,36 @@
 		fetch.putIndex(bytes, read.get());
 	}
 
-	private void receivePart(Object from, String hash, byte[] bytes) {
+	private void receivePart(Object from, String hash, Content content) {
 		VersionFetch fetch = wanted();
 		ManifestPart part = (fetch != null) ? fetch.missingPart(hash) : null;
 		if (fetch == null || part == null) {
 			return;
 		}
-		if (bytes.length != part.size() || !ContentHash.of(bytes).equals(hash)) {
+		byte[] bytes = decode(content, part.size());
+		if (bytes == null || bytes.length != part.size() || !ContentHash.of(bytes).equals(hash)) {
 			report(FollowEvent.CONTENT_INVALID, hash, from, "wrong size or hash");
 			return;
 		}
 		fetch.putPart(hash, bytes);
 	}
 
+	private byte @Nullable [] decode(Content content, long limit) {
+		AcceptedVersion current = this.accepted;
+		byte[] base = null;
+		if (current != null && !content.base().isEmpty()) {
+			base = (content.base().equals(current.index().hash())) ? current.indexBytes()
+					: current.parts().get(content.base());
+		}
+		return ContentCoder.decode(content, base, limit);
+	}
+
 	private void serveIndex(HostAddress from, ManifestMessage.IndexRequest request) {
 		AcceptedVersion current = this.accepted;
 		if (current != null && current.index().hash().equals(request.hash())) {
-			send(from, new ManifestMessage.IndexReply(request.hash(), Content.plain(current.indexBytes())));
+			AcceptedVersion base = base(request.base());
+			send(from, new ManifestMessage.IndexReply(request.hash(), ContentCoder.encode(current.indexBytes(),
+					request.base(), (base != null) ? base.indexBytes() : null)));
 		}
 		else {
 			send(from, new ManifestMessage.Announcement(inForce()));
@@ -382,14 +398,22 @@
 			send(from, new ManifestMessage.Announcement(inForce()));
 			return;
 		}
+		AcceptedVersion base = base(request.base());
 		for (String hash : request.hashes().stream().limit(this.settings.requestWindow()).toList()) {
 			byte[] bytes = current.parts().get(hash);
 			if (bytes != null) {
-				send(from, new ManifestMessage.PartReply(hash, Content.plain(bytes)));
+				String baseHash = (base != null) ? base.hashOfPart(current.nameOfPart(hash)) : "";
+				send(from, new ManifestMessage.PartReply(hash,
+						ContentCoder.encode(bytes, baseHash, (base != null) ? base.parts().get(baseHash) : null)));
 			}
 		}
 	}
 
+	private @Nullable AcceptedVersion base(String hash) {
+		AcceptedVersion before = this.previous;
+		return (before != null && before.index().hash().equals(hash)) ? before : null;
+	}
+
 	private void advance(long now) {
 		VersionFetch fetch = wanted();
 		while (fetch != null && complete(now, fetch)) {
@@ -482,10 +506,11 @@
 	}
 
 	private void accept(long now, VersionFetch fetch, AcceptedVersion version) {
-		VersionStamp previous = inForce();
-		if (version.index().version() <= previous.version()) {
-			throw new IllegalStateException("Version " + version.stamp() + " does not follow " + previous);
+		VersionStamp before = inForce();
+		if (version.index().version() <= before.version()) {
+			throw new IllegalStateException("Version " + version.stamp() + " does not follow " + before);
 		}
+		this.previous = this.accepted;
 		this.accepted = version;
 		this.known.keySet().removeIf((stamp) -> stamp.version() <= version.index().version());
 		HostAddress source = fetch.source();
@@ -493,7 +518,7 @@
 		this.effects.add(new FollowEffect.Apply(version.manifest()));
 		report(FollowEvent.ACCEPTED, version.stamp(), from);
 		this.effects.add(new FollowEffect.Audit(new AuditEntry(now, AuditKind.MANIFEST_ACCEPTED,
-				version.stamp().toString(), Step.APPLY, from, Map.of("previous", previous.toString()))));
+				version.stamp().toString(), Step.APPLY, from, Map.of("previous", before.toString()))));
 		announce();
 	}
 
