Separate the decisions of a daemon from its I/O

DaemonCore connects all components and reaches the outside through four ports, so that several daemons run in virtual time with their real wiring.

--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/BackendProber.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/BackendProber.java
@@ -16,7 +16,7 @@
  * <p>
  * Thread safety: usable from any thread; results come on a thread of the HTTP client.
  */
-final class BackendProber implements AutoCloseable {
+final class BackendProber implements Prober, AutoCloseable {
 
 	/**
 	 * Time in milliseconds after which a probe counts as failed; a healthy probe takes 25
@@ -31,12 +31,8 @@
 		.callTimeout(Duration.ofMillis(TIMEOUT_MILLISECONDS))
 		.build();
 
-	/**
-	 * Sends one probe.
-	 * @param address the server's address
-	 * @param result takes whether the server answered without an error of its own
-	 */
-	void probe(HostAddress address, Consumer<Boolean> result) {
+	@Override
+	public void probe(HostAddress address, Consumer<Boolean> result) {
 		Request request = new Request.Builder().url("http://" + address + "/").head().build();
 		this.client.newCall(request).enqueue(new Callback() {
 
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
@@ -16,7 +16,7 @@
  */
 public final class ComponentDriver<M, E> {
 
-	private final ControlThread control;
+	private final ControlLoop control;
 
 	private final Component<M, E> component;
 
@@ -32,7 +32,7 @@
 	 * @param component the component
 	 * @param effects carries out one effect
 	 */
-	public ComponentDriver(ControlThread control, Component<M, E> component, Consumer<E> effects) {
+	public ComponentDriver(ControlLoop control, Component<M, E> component, Consumer<E> effects) {
 		this.control = control;
 		this.component = component;
 		this.effects = effects;
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlLoop.java
@@ -0,0 +1,34 @@
+package org.wigeonmast.daemon.internal;
+
+import java.util.concurrent.Executor;
+
+import org.wigeonmast.core.MillisecondClock;
+
+/**
+ * Runs the tasks of a daemon's control state one after the other: a thread in a daemon,
+ * virtual time in tests.
+ * <p>
+ * Thread safety: usable from any thread. Invariant: tasks never overlap, and a task that
+ * becomes due earlier runs earlier.
+ */
+public interface ControlLoop extends Executor {
+
+	/**
+	 * Returns the clock.
+	 * @return the clock
+	 */
+	MillisecondClock clock();
+
+	/**
+	 * Runs a task later.
+	 * @param delay the delay in milliseconds
+	 * @param task the task
+	 */
+	void schedule(long delay, Runnable task);
+
+	@Override
+	default void execute(Runnable task) {
+		schedule(0, task);
+	}
+
+}
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
@@ -1,6 +1,5 @@
 package org.wigeonmast.daemon.internal;
 
-import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -17,7 +16,7 @@
  * all given tasks run one after the other on the control thread. Invariant: a task that
  * throws is logged and does not stop later tasks.
  */
-public final class ControlThread implements Executor, AutoCloseable {
+public final class ControlThread implements ControlLoop, AutoCloseable {
 
 	private static final long CLOSE_TIMEOUT_MILLISECONDS = 1000;
 
@@ -45,24 +44,12 @@
 		this.executor.setRemoveOnCancelPolicy(true);
 	}
 
-	/**
-	 * Returns the clock of the control thread.
-	 * @return the clock
-	 */
+	@Override
 	public MillisecondClock clock() {
 		return this.clock;
 	}
 
 	@Override
-	public void execute(Runnable task) {
-		schedule(0, task);
-	}
-
-	/**
-	 * Runs a task later.
-	 * @param delay the delay in milliseconds
-	 * @param task the task
-	 */
 	public void schedule(long delay, Runnable task) {
 		try {
 			this.executor.schedule(() -> run(task), delay, TimeUnit.MILLISECONDS);
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonAssembly.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonAssembly.java
@@ -1,48 +1,39 @@
 package org.wigeonmast.daemon.internal;
 
 import java.security.SecureRandom;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
 import com.codahale.metrics.MetricRegistry;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.admin.AdminServer;
 import org.wigeonmast.admin.AdminSources;
-import org.wigeonmast.admin.AuditTrail;
-import org.wigeonmast.admin.Readiness;
-import org.wigeonmast.core.AuditEntry;
-import org.wigeonmast.core.AuditKind;
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.MillisecondClock;
-import org.wigeonmast.core.ServiceName;
-import org.wigeonmast.core.Step;
 import org.wigeonmast.core.WigeonmastException;
 import org.wigeonmast.daemon.DaemonAddresses;
 import org.wigeonmast.daemon.DaemonEvent;
-import org.wigeonmast.health.ServerHealth;
-import org.wigeonmast.manifest.BackendServer;
-import org.wigeonmast.manifest.Manifest;
-import org.wigeonmast.manifest.store.PlatformHost;
-import org.wigeonmast.membership.Member;
+import org.wigeonmast.manifest.follow.FollowSettings;
+import org.wigeonmast.manifest.store.ConfigurationStoreClient;
+import org.wigeonmast.proxy.ProxyConfiguration;
+import org.wigeonmast.proxy.ProxyServer;
 import org.wigeonmast.settings.DaemonSettings;
+import org.wigeonmast.settings.LimitSettings;
 import org.wigeonmast.wire.LinkSettings;
+import org.wigeonmast.wire.PeerLinks;
+import org.wigeonmast.wire.Slice;
 
 /**
- * Creates the parts of a daemon, connects them, and stops them in order.
+ * Connects the decisions of a daemon with links, proxy, store and operators, and stops
+ * them in order.
  * <p>
- * Thread safety: the public methods can be called from any thread; the parts run on the
- * control thread.
+ * Thread safety: usable from any thread.
  */
-public final class DaemonAssembly implements FleetListener, HealthListener, AutoCloseable {
+public final class DaemonAssembly implements AutoCloseable {
 
 	/** Algorithm of the random numbers that decide nothing secret. */
 	private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
@@ -57,39 +48,31 @@
 
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
-	private final DaemonSettings settings;
-
-	private final DaemonId self;
-
-	private final ControlThread control;
-
-	private final PeerMessenger messenger;
-
-	private final FleetShell fleet;
+	private final AtomicBoolean stopping = new AtomicBoolean();
 
-	private final HealthShell health;
+	private final AtomicBoolean closed = new AtomicBoolean();
 
-	private final DispatchShell dispatch;
+	private final MetricRegistry metrics = new MetricRegistry();
 
 	private final BackendProber prober = new BackendProber();
 
-	private final MetricRegistry metrics = new MetricRegistry();
+	private final DaemonSettings settings;
 
-	private final AuditTrail trail;
+	private final DaemonId self;
 
-	private final OperatorView operators;
+	private final ControlThread control;
 
-	private volatile String reason = "starting";
+	private final PeerLinks links;
 
-	private volatile @Nullable AdminServer admin;
+	private final ConfigurationStoreClient store;
 
-	private final Set<BackendServerId> ejected = ConcurrentHashMap.newKeySet();
+	private final ProxyServer proxy;
 
-	private final AtomicBoolean closed = new AtomicBoolean();
+	private final DaemonCore core;
 
-	private volatile boolean ready;
+	private volatile @Nullable AdminServer admin;
 
-	private volatile boolean stopping;
+	private volatile boolean started;
 
 	/**
 	 * Creates the parts and opens the listener for links.
@@ -103,17 +86,17 @@
 		// host without a disk.
 		this.self = new DaemonId(settings.name(), clock.timeOfDay().toEpochMilli());
 		this.control = new ControlThread(clock);
-		this.trail = new AuditTrail(clock, settings.limits().auditEntries());
-		RandomGenerator random = RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(new SecureRandom().nextLong());
-		this.messenger = new PeerMessenger(this.control,
-				new LinkSettings(this.self, settings.peers().address(), settings.peers().key()));
-		this.fleet = new FleetShell(this.control, settings, this.self, this.messenger, random, this::audit, this);
-		this.health = new HealthShell(this.control, this.self, settings.failureDomain(), this.messenger, this::audit,
-				this);
-		this.dispatch = new DispatchShell(this.control, settings, this.self, this.messenger, this.health, random,
-				this.metrics, this::audit);
-		this.operators = new OperatorView(this.control, this.fleet.self(), this.fleet, this.health, this.dispatch,
-				this.trail, () -> this.reason);
+		this.links = PeerLinks.open(new LinkSettings(this.self, settings.peers().address(), settings.peers().key()),
+				this::received);
+		this.store = new ConfigurationStoreClient(settings.store().baseUrl(), settings.store().callTimeout(),
+				FollowSettings.standard().watchWait());
+		this.proxy = new ProxyServer(configuration(settings), clock, () -> core().routing(),
+				(event) -> core().requestEvent(event), this.metrics);
+		this.core = new DaemonCore(this.control, settings, this.self,
+				new DaemonCore.Ports(new LinkTransport(this.links), new ClientStoreCalls(this.store),
+						this.proxy::execute, this.prober),
+				RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(new SecureRandom().nextLong()));
+		this.proxy.setLiveDaemons(this.core::liveDaemons);
 	}
 
 	/**
@@ -122,17 +105,13 @@
 	 * @throws WigeonmastException if an address cannot be bound
 	 */
 	public DaemonAddresses start() throws WigeonmastException {
-		AdminServer operatorServer = new AdminServer(this.settings.admin(),
-				new AdminSources(() -> new Readiness(isReady(), this.reason), this.operators::status,
-						this.operators::explain, this.trail, this.metrics));
-		this.admin = operatorServer;
-		HostAddress callers = this.dispatch.start();
-		this.control.execute(() -> {
-			this.messenger.start();
-			this.health.start();
-			this.fleet.start();
-		});
-		DaemonAddresses addresses = new DaemonAddresses(callers, this.messenger.address(), operatorServer.address());
+		AdminServer operators = new AdminServer(this.settings.admin(), new AdminSources(this.core::readiness,
+				this.core.operators()::status, this.core.operators()::explain, this.core.trail(), this.metrics));
+		this.admin = operators;
+		HostAddress callers = this.proxy.start();
+		this.started = true;
+		this.control.execute(this.core::start);
+		DaemonAddresses addresses = new DaemonAddresses(callers, this.links.address(), operators.address());
 		this.log.log(DaemonEvent.STARTED, this.self, addresses.callers(), addresses.peers(), addresses.operators());
 		return addresses;
 	}
@@ -142,7 +121,7 @@
 	 * @return whether it is ready
 	 */
 	public boolean isReady() {
-		return this.ready && !this.stopping;
+		return this.core.readiness().ready();
 	}
 
 	/**
@@ -151,7 +130,7 @@
 	 * @return whether it is ejected
 	 */
 	public boolean isEjected(BackendServerId server) {
-		return this.ejected.contains(server);
+		return this.core.isEjected(server);
 	}
 
 	/**
@@ -159,131 +138,59 @@
 	 * @return completes when the daemon has stopped
 	 */
 	public CompletableFuture<Void> stop() {
-		this.control.execute(this::beginStop);
+		if (this.stopping.compareAndSet(false, true)) {
+			this.control.execute(this.core::leave);
+			this.control.schedule(READINESS_GRACE_MILLISECONDS,
+					() -> this.proxy.drain().whenComplete((ignored, failure) -> this.control.execute(this::endStop)));
+		}
 		return this.stopped;
 	}
 
 	@Override
 	public void close() {
 		if (this.closed.compareAndSet(false, true)) {
-			AdminServer operatorServer = this.admin;
-			if (operatorServer != null) {
-				operatorServer.close();
+			AdminServer operators = this.admin;
+			if (operators != null) {
+				operators.close();
 			}
-			this.dispatch.close();
+			this.proxy.close();
 			this.prober.close();
-			this.messenger.close();
+			this.store.close();
+			this.links.close();
 			this.control.close();
 		}
 	}
 
-	@Override
-	public void membersChanged() {
-		List<Member> live = this.fleet.live();
-		this.health.membersChanged(live, this.fleet.ownership());
-		this.dispatch.membersChanged(live, this.fleet.ownership());
-	}
-
-	@Override
-	public void manifestApplied(Manifest manifest) {
-		this.dispatch.apply(manifest);
-		this.health.apply(manifest);
-		this.operators.manifestApplied();
-		membersChanged();
-	}
-
-	@Override
-	public void readinessChanged(boolean isReady) {
-		this.ready = isReady;
-		this.reason = isReady ? "serves manifest " + this.fleet.inForce() : "members have to confirm the manifest";
-		lifecycle(isReady ? "ready" : "not ready");
-		if (isReady) {
-			this.log.log(DaemonEvent.READY, this.fleet.inForce().version());
-		}
-		else {
-			this.log.log(DaemonEvent.NOT_READY, this.reason);
-		}
-	}
-
-	@Override
-	public void resumed() {
-		this.dispatch.resumed();
-	}
-
-	@Override
-	public void hostsRead(List<PlatformHost> hosts) {
-		this.health.hostsRead(hosts);
-	}
-
-	@Override
-	public void judged(ServiceName service, List<ServerHealth> servers) {
-		this.dispatch.judged(service, servers);
-	}
-
-	@Override
-	public void statesChanged(ServiceName service) {
-		this.dispatch.statesChanged(service);
-		for (ServerHealth server : this.health.states(service)) {
-			if (server.state() == ServerHealth.State.EJECTED) {
-				this.ejected.add(server.server());
-			}
-			else {
-				this.ejected.remove(server.server());
-			}
-		}
-	}
-
-	@Override
-	public void probe(BackendServerId server) {
-		HostAddress address = address(server);
-		if (address != null) {
-			this.prober.probe(address,
-					(answered) -> this.control.execute(() -> this.health.probeEnded(server, answered)));
-		}
-	}
-
-	private @Nullable HostAddress address(BackendServerId id) {
-		Manifest manifest = this.fleet.manifest();
-		if (manifest == null) {
-			return null;
-		}
-		return manifest.services()
-			.stream()
-			.flatMap((service) -> service.servers().stream())
-			.filter((server) -> server.id().equals(id))
-			.map(BackendServer::address)
-			.findFirst()
-			.orElse(null);
-	}
-
-	private void beginStop() {
-		if (this.stopping) {
-			return;
-		}
-		this.stopping = true;
-		this.reason = "stopping";
-		lifecycle("stopping");
-		this.log.log(DaemonEvent.STOPPING, this.dispatch.active());
-		this.fleet.leave();
-		this.control.schedule(READINESS_GRACE_MILLISECONDS,
-				() -> this.dispatch.drain().whenComplete((ignored, failure) -> this.control.execute(this::endStop)));
-	}
-
 	private void endStop() {
-		this.fleet.close();
-		this.health.stop();
+		this.core.stop();
 		close();
 		this.log.log(DaemonEvent.STOPPED);
 		this.stopped.complete(null);
 	}
 
-	private void lifecycle(String state) {
-		audit(new AuditEntry(this.control.clock().milliseconds(), AuditKind.LIFECYCLE, this.self.toString(), Step.START,
-				this.self.toString(), Map.of("state", state)));
+	// Links and proxy are created before the core, which needs them, and use it only once
+	// it exists.
+	private DaemonCore core() {
+		return this.core;
+	}
+
+	private void received(DaemonId from, HostAddress address, Slice slice, byte[] content) {
+		// Messages that arrive before the start are lost, as on a broken link.
+		if (this.started) {
+			this.core.received(from, address, slice, content);
+		}
 	}
 
-	private void audit(AuditEntry entry) {
-		this.trail.add(entry);
+	private static ProxyConfiguration configuration(DaemonSettings settings) {
+		LimitSettings chosen = settings.limits();
+		ProxyConfiguration.Limits sizes = ProxyConfiguration.Limits.DEFAULTS;
+		ProxyConfiguration.Timeouts times = ProxyConfiguration.Timeouts.DEFAULTS;
+		return new ProxyConfiguration(settings.callers(), settings.name(), chosen.callerConnections(),
+				new ProxyConfiguration.Limits(sizes.requestLine(), chosen.headSize(), sizes.body(),
+						chosen.replayBodySize(), sizes.replayableBodies(), sizes.unsentBytes()),
+				new ProxyConfiguration.Timeouts(chosen.headTimeout(), chosen.bodyTimeout(), chosen.idleTimeout(),
+						times.request(), times.connect(), times.backendIdle(), times.proven(), times.drainIdle(),
+						times.retryAfter()));
 	}
 
 }
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonCore.java
@@ -0,0 +1,291 @@
+package org.wigeonmast.daemon.internal;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.admin.AuditTrail;
+import org.wigeonmast.admin.Readiness;
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.AuditKind;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.core.Step;
+import org.wigeonmast.daemon.DaemonEvent;
+import org.wigeonmast.dispatch.ExchangeCommand;
+import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.health.ServerHealth;
+import org.wigeonmast.manifest.BackendServer;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.store.PlatformHost;
+import org.wigeonmast.membership.Member;
+import org.wigeonmast.settings.DaemonSettings;
+import org.wigeonmast.wire.Slice;
+
+/**
+ * The decisions of a daemon: all components, connected with each other, without any I/O
+ * of their own.
+ * <p>
+ * Thread safety: {@link #received}, {@link #requestEvent}, {@link #readiness()},
+ * {@link #isEjected}, {@link #routing()} and {@link #liveDaemons()} can be called from
+ * any thread; everything else runs on the control loop. Invariant: a daemon that is
+ * stopping is never ready.
+ */
+public final class DaemonCore implements FleetListener, HealthListener {
+
+	private final EventLog log = new EventLog(DaemonCore.class);
+
+	private final Set<BackendServerId> ejected = ConcurrentHashMap.newKeySet();
+
+	private final DaemonId self;
+
+	private final ControlLoop control;
+
+	private final Ports ports;
+
+	private final AuditTrail trail;
+
+	private final PeerMessenger messenger;
+
+	private final FleetShell fleet;
+
+	private final HealthShell health;
+
+	private final DispatchShell dispatch;
+
+	private final OperatorView operators;
+
+	private volatile Readiness readiness = new Readiness(false, "starting");
+
+	private boolean stopping;
+
+	/**
+	 * Creates the components.
+	 * @param control the control loop
+	 * @param settings the settings
+	 * @param self this daemon
+	 * @param ports how the components reach the outside
+	 * @param random the random numbers of the components, which decide nothing secret
+	 */
+	public DaemonCore(ControlLoop control, DaemonSettings settings, DaemonId self, Ports ports,
+			RandomGenerator random) {
+		this.control = control;
+		this.self = self;
+		this.ports = ports;
+		this.trail = new AuditTrail(control.clock(), settings.limits().auditEntries());
+		this.messenger = new PeerMessenger(control, self, ports.transport());
+		this.fleet = new FleetShell(control, settings, self, this.messenger, ports.store(), random, this.trail::add,
+				this);
+		this.health = new HealthShell(control, self, settings.failureDomain(), this.messenger, this.trail::add, this);
+		this.dispatch = new DispatchShell(control, settings.failureDomain().region(), self, this.messenger, this.health,
+				random, ports.exchanges(), this.trail::add);
+		this.operators = new OperatorView(control, this.fleet.self(), this.fleet, this.health, this.dispatch,
+				this.trail, () -> this.readiness.reason());
+	}
+
+	/** Starts the components; to be called on the control loop. */
+	public void start() {
+		this.messenger.start();
+		this.dispatch.start();
+		this.health.start();
+		this.fleet.start();
+	}
+
+	/**
+	 * Announces a planned stop: readiness fails and others own the services of this
+	 * daemon from now on.
+	 */
+	public void leave() {
+		this.stopping = true;
+		this.readiness = new Readiness(false, "stopping");
+		lifecycle("stopping");
+		this.log.log(DaemonEvent.STOPPING, this.dispatch.active());
+		this.fleet.leave();
+	}
+
+	/** Ends the components after the last request. */
+	public void stop() {
+		this.fleet.close();
+		this.health.stop();
+		this.dispatch.stop();
+	}
+
+	/**
+	 * Takes an encoded message of a peer.
+	 * @param from the sender
+	 * @param address where the sender receives messages
+	 * @param slice the slice
+	 * @param content the encoded message
+	 */
+	public void received(DaemonId from, HostAddress address, Slice slice, byte[] content) {
+		this.messenger.received(from, address, slice, content);
+	}
+
+	/**
+	 * Takes an event of the proxy.
+	 * @param event the event
+	 */
+	public void requestEvent(RequestEvent event) {
+		this.control.execute(() -> this.dispatch.requestEvent(event));
+	}
+
+	/**
+	 * Returns whether the daemon is ready.
+	 * @return the readiness
+	 */
+	public Readiness readiness() {
+		return this.readiness;
+	}
+
+	/**
+	 * Returns the manifest that requests are routed by.
+	 * @return the manifest in force, or {@code null} if there is none
+	 */
+	public @Nullable Manifest routing() {
+		return this.dispatch.routing();
+	}
+
+	/**
+	 * Returns the number of live daemons.
+	 * @return the number, at least 1
+	 */
+	public int liveDaemons() {
+		return this.dispatch.liveDaemons();
+	}
+
+	/**
+	 * Returns whether this daemon follows an ejection of a backend server.
+	 * @param server the backend server
+	 * @return whether it is ejected
+	 */
+	public boolean isEjected(BackendServerId server) {
+		return this.ejected.contains(server);
+	}
+
+	/**
+	 * Returns the states of backend servers that requests of a service follow.
+	 * @param service the service
+	 * @return the states of servers that are not simply in service
+	 */
+	public List<ServerHealth> states(ServiceName service) {
+		return this.health.states(service);
+	}
+
+	/**
+	 * Returns the audit trail.
+	 * @return the trail
+	 */
+	public AuditTrail trail() {
+		return this.trail;
+	}
+
+	OperatorView operators() {
+		return this.operators;
+	}
+
+	@Override
+	public void membersChanged() {
+		List<Member> live = this.fleet.live();
+		this.health.membersChanged(live, this.fleet.ownership());
+		this.dispatch.membersChanged(live, this.fleet.ownership());
+	}
+
+	@Override
+	public void manifestApplied(Manifest manifest) {
+		this.dispatch.apply(manifest);
+		this.health.apply(manifest);
+		this.operators.manifestApplied();
+		membersChanged();
+	}
+
+	@Override
+	public void readinessChanged(boolean ready) {
+		if (this.stopping) {
+			return;
+		}
+		String reason = ready ? "serves manifest " + this.fleet.inForce() : "members have to confirm the manifest";
+		this.readiness = new Readiness(ready, reason);
+		lifecycle(ready ? "ready" : "not ready");
+		if (ready) {
+			this.log.log(DaemonEvent.READY, this.fleet.inForce().version());
+		}
+		else {
+			this.log.log(DaemonEvent.NOT_READY, reason);
+		}
+	}
+
+	@Override
+	public void resumed() {
+		this.dispatch.resumed();
+	}
+
+	@Override
+	public void hostsRead(List<PlatformHost> hosts) {
+		this.health.hostsRead(hosts);
+	}
+
+	@Override
+	public void judged(ServiceName service, List<ServerHealth> servers) {
+		this.dispatch.judged(service, servers);
+	}
+
+	@Override
+	public void statesChanged(ServiceName service) {
+		this.dispatch.statesChanged(service);
+		for (ServerHealth server : this.health.states(service)) {
+			if (server.state() == ServerHealth.State.EJECTED) {
+				this.ejected.add(server.server());
+			}
+			else {
+				this.ejected.remove(server.server());
+			}
+		}
+	}
+
+	@Override
+	public void probe(BackendServerId server) {
+		HostAddress address = address(server);
+		if (address != null) {
+			this.ports.prober()
+				.probe(address, (answered) -> this.control.execute(() -> this.health.probeEnded(server, answered)));
+		}
+	}
+
+	private @Nullable HostAddress address(BackendServerId id) {
+		Manifest manifest = this.fleet.manifest();
+		if (manifest == null) {
+			return null;
+		}
+		return manifest.services()
+			.stream()
+			.flatMap((service) -> service.servers().stream())
+			.filter((server) -> server.id().equals(id))
+			.map(BackendServer::address)
+			.findFirst()
+			.orElse(null);
+	}
+
+	private void lifecycle(String state) {
+		this.trail.add(new AuditEntry(this.control.clock().milliseconds(), AuditKind.LIFECYCLE, this.self.toString(),
+				Step.START, this.self.toString(), Map.of("state", state)));
+	}
+
+	/**
+	 * How the components of a daemon reach the outside.
+	 *
+	 * @param transport sends messages to peers
+	 * @param store calls the configuration store
+	 * @param exchanges carries out commands about requests
+	 * @param prober probes backend servers
+	 */
+	public record Ports(Transport transport, StoreCalls store, Consumer<ExchangeCommand> exchanges, Prober prober) {
+	}
+
+}
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DispatchShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DispatchShell.java
@@ -6,17 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
-import com.codahale.metrics.MetricRegistry;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.AuditEntry;
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.EventLog;
-import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.Region;
 import org.wigeonmast.core.ServiceName;
 import org.wigeonmast.dispatch.CoordinatorInput;
@@ -24,29 +21,27 @@
 import org.wigeonmast.dispatch.DispatchEffect;
 import org.wigeonmast.dispatch.DispatchMessage;
 import org.wigeonmast.dispatch.DispatchMode;
+import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.dispatch.OwnedServices;
 import org.wigeonmast.dispatch.OwnerInput;
 import org.wigeonmast.dispatch.QueueOrder;
 import org.wigeonmast.dispatch.RequestCoordinator;
+import org.wigeonmast.dispatch.RequestEvent;
 import org.wigeonmast.health.ServerHealth;
 import org.wigeonmast.manifest.Manifest;
 import org.wigeonmast.manifest.Service;
 import org.wigeonmast.membership.Member;
 import org.wigeonmast.membership.ownership.Ownership;
-import org.wigeonmast.proxy.ProxyConfiguration;
-import org.wigeonmast.proxy.ProxyServer;
-import org.wigeonmast.proxy.ProxyStartException;
-import org.wigeonmast.settings.DaemonSettings;
-import org.wigeonmast.settings.LimitSettings;
 import org.wigeonmast.wire.Slice;
 
 /**
- * Connects the proxy with the entry side and the owner side of dispatch.
+ * Drives the entry side and the owner side of dispatch.
  * <p>
- * Thread safety: confined to the control thread, except {@link #drain()}. Invariant: the
- * manifest that routes a request is known to the coordinator before the request is.
+ * Thread safety: confined to the control loop, except {@link #routing()} and
+ * {@link #liveDaemons()}. Invariant: the manifest that routes a request is known to the
+ * coordinator before the request is.
  */
-final class DispatchShell implements AutoCloseable {
+final class DispatchShell {
 
 	/**
 	 * Number of daemons in rank order that the entry side is told of for each service and
@@ -72,7 +67,7 @@
 
 	private final HealthShell health;
 
-	private final ProxyServer proxy;
+	private final Consumer<ExchangeCommand> exchanges;
 
 	private final Consumer<AuditEntry> audit;
 
@@ -82,28 +77,41 @@
 
 	private Set<DaemonId> live = Set.of();
 
-	DispatchShell(ControlThread control, DaemonSettings settings, DaemonId self, PeerMessenger messenger,
-			HealthShell health, RandomGenerator random, MetricRegistry metrics, Consumer<AuditEntry> audit) {
-		this.region = settings.failureDomain().region();
+	DispatchShell(ControlLoop control, Region region, DaemonId self, PeerMessenger messenger, HealthShell health,
+			RandomGenerator random, Consumer<ExchangeCommand> exchanges, Consumer<AuditEntry> audit) {
+		this.region = region;
 		this.health = health;
+		this.exchanges = exchanges;
 		this.audit = audit;
-		this.coordinator = new RequestCoordinator(self, this.region, random);
+		this.coordinator = new RequestCoordinator(self, region, random);
 		this.coordinatorDriver = new ComponentDriver<>(control, this.coordinator, this::carryOutHere);
 		this.ownerDriver = new ComponentDriver<>(control,
-				new OwnedServices(control.clock().milliseconds(), self, this.region, QueueOrder.EARLIEST_DEADLINE),
+				new OwnedServices(control.clock().milliseconds(), self, region, QueueOrder.EARLIEST_DEADLINE),
 				this::carryOutAsOwner);
 		this.endpoint = messenger.register(Slice.DISPATCH, new DispatchCodec(),
 				(from, message) -> received(from.id(), message));
-		this.proxy = new ProxyServer(configuration(settings), control.clock(), () -> this.routing,
-				(event) -> control.execute(() -> this.coordinatorDriver.handle(new CoordinatorInput.Proxied(event))),
-				metrics);
-		this.proxy.setLiveDaemons(() -> this.liveDaemons);
 	}
 
-	HostAddress start() throws ProxyStartException {
+	void start() {
 		this.coordinatorDriver.start();
 		this.ownerDriver.start();
-		return this.proxy.start();
+	}
+
+	void stop() {
+		this.coordinatorDriver.stop();
+		this.ownerDriver.stop();
+	}
+
+	void requestEvent(RequestEvent event) {
+		this.coordinatorDriver.handle(new CoordinatorInput.Proxied(event));
+	}
+
+	@Nullable Manifest routing() {
+		return this.routing;
+	}
+
+	int liveDaemons() {
+		return this.liveDaemons;
 	}
 
 	DispatchMode mode(ServiceName service) {
@@ -170,17 +178,6 @@
 		this.coordinatorDriver.handle(new CoordinatorInput.HealthChanged(service, this.health.states(service)));
 	}
 
-	CompletableFuture<Void> drain() {
-		return this.proxy.drain();
-	}
-
-	@Override
-	public void close() {
-		this.proxy.close();
-		this.coordinatorDriver.stop();
-		this.ownerDriver.stop();
-	}
-
 	private void received(DaemonId sender, DispatchMessage message) {
 		if (message instanceof DispatchMessage.OutcomeReport report) {
 			this.health.reported(sender, report);
@@ -212,7 +209,7 @@
 
 	private void carryOut(DispatchEffect effect) {
 		switch (effect) {
-			case DispatchEffect.Exchange exchange -> this.proxy.execute(exchange.command());
+			case DispatchEffect.Exchange exchange -> this.exchanges.accept(exchange.command());
 			case DispatchEffect.Send send -> this.endpoint.send(send.receiver(), send.message());
 			case DispatchEffect.Advised advised ->
 				this.health.advised(advised.owner(), advised.service(), advised.servers());
@@ -238,16 +235,4 @@
 		return ownership.rank(service, region).stream().limit(RANKED_OWNERS).map(Member::id).toList();
 	}
 
-	private static ProxyConfiguration configuration(DaemonSettings settings) {
-		LimitSettings chosen = settings.limits();
-		ProxyConfiguration.Limits sizes = ProxyConfiguration.Limits.DEFAULTS;
-		ProxyConfiguration.Timeouts times = ProxyConfiguration.Timeouts.DEFAULTS;
-		return new ProxyConfiguration(settings.callers(), settings.name(), chosen.callerConnections(),
-				new ProxyConfiguration.Limits(sizes.requestLine(), chosen.headSize(), sizes.body(),
-						chosen.replayBodySize(), sizes.replayableBodies(), sizes.unsentBytes()),
-				new ProxyConfiguration.Timeouts(chosen.headTimeout(), chosen.bodyTimeout(), chosen.idleTimeout(),
-						times.request(), times.connect(), times.backendIdle(), times.proven(), times.drainIdle(),
-						times.retryAfter()));
-	}
-
 }
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
@@ -23,7 +23,6 @@
 import org.wigeonmast.manifest.follow.ManifestMessage;
 import org.wigeonmast.manifest.follow.Peer;
 import org.wigeonmast.manifest.follow.VersionStamp;
-import org.wigeonmast.manifest.store.ConfigurationStoreClient;
 import org.wigeonmast.manifest.store.PlatformHost;
 import org.wigeonmast.membership.Member;
 import org.wigeonmast.membership.MemberPhase;
@@ -77,7 +76,7 @@
 
 	private List<PlatformHost> hosts = List.of();
 
-	FleetShell(ControlThread control, DaemonSettings settings, DaemonId self, PeerMessenger messenger,
+	FleetShell(ControlLoop control, DaemonSettings settings, DaemonId self, PeerMessenger messenger, StoreCalls calls,
 			RandomGenerator random, Consumer<AuditEntry> audit, FleetListener listener) {
 		this.settings = settings;
 		this.self = self;
@@ -95,9 +94,7 @@
 				(from, message) -> this.membershipDriver.handle(new MembershipInput.Received(from.address(), message)));
 		this.manifestEndpoint = messenger.register(Slice.MANIFEST, new ManifestCodec(),
 				(from, message) -> this.followDriver.handle(new FollowInput.Received(from.address(), message)));
-		ConfigurationStoreClient client = new ConfigurationStoreClient(settings.store().baseUrl(),
-				settings.store().callTimeout(), FollowSettings.standard().watchWait());
-		this.store = new StoreShell(control, client, this.followDriver::handle);
+		this.store = new StoreShell(control, calls, this.followDriver::handle);
 	}
 
 	void start() {
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/HealthShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/HealthShell.java
@@ -56,7 +56,7 @@
 
 	private final ServerStates states = new ServerStates();
 
-	private final ControlThread control;
+	private final ControlLoop control;
 
 	private final DaemonId self;
 
@@ -80,7 +80,7 @@
 
 	private List<Member> members = List.of();
 
-	HealthShell(ControlThread control, DaemonId self, FailureDomain domain, PeerMessenger messenger,
+	HealthShell(ControlLoop control, DaemonId self, FailureDomain domain, PeerMessenger messenger,
 			Consumer<AuditEntry> audit, HealthListener listener) {
 		this.control = control;
 		this.self = self;
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/OperatorView.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/OperatorView.java
@@ -35,7 +35,7 @@
 
 	private static final int GREATEST_EXPLANATIONS = 16;
 
-	private final ControlThread control;
+	private final ControlLoop control;
 
 	private final DaemonId self;
 
@@ -57,7 +57,7 @@
 
 	private long manifestAppliedAt;
 
-	OperatorView(ControlThread control, Member self, FleetShell fleet, HealthShell health, DispatchShell dispatch,
+	OperatorView(ControlLoop control, Member self, FleetShell fleet, HealthShell health, DispatchShell dispatch,
 			AuditTrail audit, Supplier<String> readiness) {
 		this.control = control;
 		this.self = self.id();
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/PeerMessenger.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/PeerMessenger.java
@@ -13,10 +13,6 @@
 import org.wigeonmast.core.MessageCodec;
 import org.wigeonmast.daemon.DaemonEvent;
 import org.wigeonmast.membership.Member;
-import org.wigeonmast.wire.LinkCounts;
-import org.wigeonmast.wire.LinkListenerException;
-import org.wigeonmast.wire.LinkSettings;
-import org.wigeonmast.wire.PeerLinks;
 import org.wigeonmast.wire.Slice;
 
 /**
@@ -27,33 +23,43 @@
  * links' threads and are handed over. Invariant: a message to this daemon itself is
  * delivered later, never within the sending call, so components are not entered twice.
  */
-public final class PeerMessenger implements AutoCloseable {
+public final class PeerMessenger {
 
 	private final EventLog log = new EventLog(PeerMessenger.class);
 
-	private final ControlThread control;
+	private final ControlLoop control;
 
 	private final Map<Slice, Endpoint<?>> endpoints = new EnumMap<>(Slice.class);
 
 	private final Map<DaemonId, HostAddress> directory = new HashMap<>();
 
-	private final PeerLinks links;
+	private final Transport transport;
 
 	private final Sender self;
 
 	private boolean started;
 
 	/**
-	 * Opens the links.
-	 * @param control the control thread
-	 * @param settings the settings of the links
-	 * @throws LinkListenerException if the address cannot be bound
+	 * Creates a messenger.
+	 * @param control the control loop
+	 * @param self this daemon
+	 * @param transport sends encoded messages
 	 */
-	public PeerMessenger(ControlThread control, LinkSettings settings) throws LinkListenerException {
+	public PeerMessenger(ControlLoop control, DaemonId self, Transport transport) {
 		this.control = control;
-		this.links = PeerLinks.open(settings, (from, address, slice, content) -> control
-			.execute(() -> receive(new Sender(from, address), slice, content)));
-		this.self = new Sender(settings.self(), this.links.address());
+		this.transport = transport;
+		this.self = new Sender(self, transport.address());
+	}
+
+	/**
+	 * Takes an encoded message of a peer; can be called from any thread.
+	 * @param from the sender
+	 * @param address where the sender receives messages
+	 * @param slice the slice
+	 * @param content the encoded message
+	 */
+	public void received(DaemonId from, HostAddress address, Slice slice, byte[] content) {
+		this.control.execute(() -> receive(new Sender(from, address), slice, content));
 	}
 
 	/**
@@ -72,14 +78,6 @@
 		return this.self.address();
 	}
 
-	/**
-	 * Returns the counts of the traffic on the links.
-	 * @return the counts
-	 */
-	public LinkCounts counts() {
-		return this.links.counts();
-	}
-
 	/**
 	 * Registers a slice.
 	 * @param <M> the messages of the slice
@@ -103,11 +101,6 @@
 		members.forEach((member) -> this.directory.put(member.id(), member.address()));
 	}
 
-	@Override
-	public void close() {
-		this.links.close();
-	}
-
 	private void receive(Sender from, Slice slice, byte[] content) {
 		Endpoint<?> endpoint = this.endpoints.get(slice);
 		if (endpoint != null && this.started) {
@@ -135,7 +128,7 @@
 				PeerMessenger.this.control.execute(() -> this.receiver.accept(PeerMessenger.this.self, message));
 			}
 			else {
-				PeerMessenger.this.links.send(to, this.slice, this.codec.encode(message));
+				PeerMessenger.this.transport.send(to, this.slice, this.codec.encode(message));
 			}
 		}
 
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/StoreShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/StoreShell.java
@@ -8,7 +8,6 @@
 
 import org.apache.commons.codec.digest.DigestUtils;
 import org.wigeonmast.manifest.follow.FollowInput;
-import org.wigeonmast.manifest.store.ConfigurationStoreClient;
 import org.wigeonmast.manifest.store.HostListReader;
 import org.wigeonmast.manifest.store.PlatformHost;
 import org.wigeonmast.manifest.store.StoreReply;
@@ -24,9 +23,9 @@
 	/** Time in milliseconds until the host list is read again after a failure. */
 	private static final long HOSTS_RETRY_MILLISECONDS = 5000;
 
-	private final ControlThread control;
+	private final ControlLoop control;
 
-	private final ConfigurationStoreClient client;
+	private final StoreCalls client;
 
 	private final HostListReader hostListReader = new HostListReader();
 
@@ -40,7 +39,7 @@
 
 	private boolean closed;
 
-	StoreShell(ControlThread control, ConfigurationStoreClient client, Consumer<FollowInput> follower) {
+	StoreShell(ControlLoop control, StoreCalls client, Consumer<FollowInput> follower) {
 		this.control = control;
 		this.client = client;
 		this.follower = follower;
@@ -92,7 +91,6 @@
 	@Override
 	public void close() {
 		this.closed = true;
-		this.client.close();
 	}
 
 	private void watchHostsAgain(boolean failed, BooleanSupplier keepWatching, Consumer<List<PlatformHost>> hosts) {
