--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/manifest/ManifestBench.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/manifest/ManifestBench.java
@@ -67,7 +67,9 @@
 		double heap = measureHeap(published);
 		Manifest manifest = check(new JsonManifestChecker(), published);
 		measureLookups(generator, size, manifest, new Random(seed));
-		double change = measureChanges(generator);
+		double change = measureChanges(generator, "callers", "requestsPerSecond");
+		change = Math.max(change, measureChanges(generator, "routes", "timeoutMilliseconds"));
+		change = Math.max(change, measureChanges(generator, "services", "slots"));
 		return (heap <= HEAP_TARGET && change <= CHANGE_TARGET) ? 0 : 1;
 	}
 
@@ -82,18 +84,18 @@
 		print("check of the whole", times, "ms");
 	}
 
-	private double measureChanges(ManifestGenerator generator) {
+	private double measureChanges(ManifestGenerator generator, String kind, String field) {
 		JsonManifestChecker checker = new JsonManifestChecker();
 		check(checker, generator.publish(1));
 		double[] times = new double[ROUNDS];
 		for (int i = -WARM_UP_ROUNDS; i < ROUNDS; i++) {
-			generator.changeOnePart();
+			generator.changeOnePart(kind, field);
 			PublishedManifest published = generator.publish(i + WARM_UP_ROUNDS + 2);
 			long start = System.nanoTime();
 			check(checker, published);
 			times[Math.max(0, i)] = (System.nanoTime() - start) / NANOSECONDS_PER_MILLISECOND;
 		}
-		return print("check after one changed part", times, "ms");
+		return print("check after one changed part of " + kind, times, "ms");
 	}
 
 	private double measureHeap(PublishedManifest published) {
--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/manifest/ManifestGenerator.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/manifest/ManifestGenerator.java
@@ -25,6 +25,9 @@
 
 	private static final int GREATEST_RATE = 200;
 
+	/** Small enough for every field that is changed. */
+	private static final int GREATEST_NUMBER = 100;
+
 	private static final String[] WORDS = { "rota", "board", "swap", "print", "claim", "desk", "catalogue", "archive",
 			"reservation", "shift", "kitchen", "image" };
 
@@ -48,14 +51,16 @@
 	}
 
 	/**
-	 * Changes one limit in the part in the middle of the callers.
+	 * Changes a number in the part in the middle of those with some kind of entries.
+	 * @param kind the kind of entries
+	 * @param field the field whose first number is changed
 	 */
-	void changeOnePart() {
-		List<String> names = this.parts.keySet().stream().filter((name) -> name.startsWith("callers")).toList();
+	void changeOnePart(String kind, String field) {
+		List<String> names = this.parts.keySet().stream().filter((name) -> name.startsWith(kind)).toList();
 		String name = names.get(names.size() / 2);
-		int rate = 1 + this.random.nextInt(GREATEST_RATE);
+		int number = 1 + this.random.nextInt(GREATEST_NUMBER);
 		this.parts.computeIfPresent(name,
-				(key, text) -> text.replaceFirst("\"requestsPerSecond\":\\d+", "\"requestsPerSecond\":" + rate));
+				(key, text) -> text.replaceFirst("\"" + field + "\":\\d+", "\"" + field + "\":" + number));
 	}
 
 	private void add(String kind, int count, IntFunction<String> entries) {
