--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -210,10 +210,17 @@
 			this.exchange.abandon(rejection.problem(), rejection.detail());
 		}
 		else {
-			reject(rejection, null);
+			rejectUndecoded(rejection);
 		}
 	}
 
+	private void rejectUndecoded(Rejection rejection) {
+		// The method of an earlier request must not decide about the body of this
+		// response.
+		this.encoder.setHead(false);
+		reject(rejection, null);
+	}
+
 	private void reject(Rejection rejection, @Nullable String declaredId) {
 		String id = (declaredId != null) ? declaredId : this.context.admission().nextId().value();
 		FullHttpResponse response = (rejection.problem() == Problem.NOT_RUN)
@@ -334,8 +341,7 @@
 			receivedHead(waiting);
 		}
 		else if (this.deferred != null) {
-			this.keepAlive = false;
-			reject(this.deferred, null);
+			rejectUndecoded(this.deferred);
 		}
 		else {
 			ask();
@@ -388,7 +394,7 @@
 
 	private void checkHead(long waited, ProxyConfiguration.Timeouts timeouts) {
 		if (this.headStarted && waited > timeouts.head()) {
-			reject(new Rejection(Problem.TOO_SLOW, "The head did not arrive in time"), null);
+			rejectUndecoded(new Rejection(Problem.TOO_SLOW, "The head did not arrive in time"));
 		}
 		else if (!this.headStarted
 				&& waited > (this.context.isDraining() ? timeouts.drainIdle() : timeouts.keepAlive())) {
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/AttemptTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/AttemptTests.java
@@ -110,6 +110,26 @@
 		}
 	}
 
+	// Guards against idle connections that stay open for ever.
+	@Test
+	void idleConnectionsAgeOut() throws Exception {
+		CompletableFuture<String> rest = new CompletableFuture<>();
+		ScriptedServer.Script once = (connection) -> {
+			connection.readMessage();
+			connection.write(OK);
+			rest.complete(connection.readAll());
+		};
+		try (ScriptedServer backend = new ScriptedServer(once);
+				TestProxy proxy = new TestProxy(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET);
+			caller.readMessage();
+			proxy.nextReport(AttemptReport.Completed.class);
+			proxy.passTime(ProxyConfiguration.Timeouts.DEFAULTS.backendIdle());
+			assertThat(rest.get(Awaiting.SECONDS, TimeUnit.SECONDS)).isEmpty();
+		}
+	}
+
 	// Guards against more connections than this daemon's share of the server's bound.
 	@Test
 	void connectionsAreBounded() throws Exception {
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
@@ -4,9 +4,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import java.util.function.UnaryOperator;
 
 import com.codahale.metrics.MetricRegistry;
+import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.core.RequestOutcome;
@@ -34,10 +36,12 @@
 
 	private final HostAddress address;
 
-	private volatile BackendServer backend;
+	private final BackendServer backend;
 
 	private volatile ConnectionRequirement requirement = ConnectionRequirement.ANY;
 
+	private volatile Function<RequestEvent.AttemptProgress, @Nullable ExchangeCommand> reaction = (progress) -> null;
+
 	TestProxy(BackendServer backend) throws ProxyStartException {
 		this(backend, UnaryOperator.identity());
 	}
@@ -54,10 +58,6 @@
 		this.requirement = requirement;
 	}
 
-	void setBackend(BackendServer backend) {
-		this.backend = backend;
-	}
-
 	/**
 	 * Lets time pass for the proxy's clock; timers of attempts are not affected.
 	 * @param milliseconds the time
@@ -114,7 +114,24 @@
 		}
 	}
 
+	/**
+	 * Sets what dispatch does when an attempt makes progress.
+	 * @param reaction returns the command, or {@code null} for the usual one
+	 */
+	void setReaction(Function<RequestEvent.AttemptProgress, @Nullable ExchangeCommand> reaction) {
+		this.reaction = reaction;
+	}
+
+	BackendServer backend() {
+		return this.backend;
+	}
+
 	private void handle(RequestEvent.AttemptProgress progress) {
+		ExchangeCommand command = this.reaction.apply(progress);
+		if (command != null) {
+			this.server.execute(command);
+			return;
+		}
 		switch (progress.report()) {
 			case AttemptReport.ResponseStarted started ->
 				this.server.execute(new ExchangeCommand.Relay(progress.request(), progress.attempt()));
