Copy held request bodies into one buffer

Each held piece kept the buffer in which it was received, so a body that arrives byte by byte took far more memory than was counted. The remaining time passed to the server is never longer than the caller's.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -117,7 +117,8 @@
 	}
 
 	private void send(BackendConnection to) {
-		long remaining = this.command.deadline() - this.context.clock().milliseconds();
+		long remaining = Math.min(this.command.deadline(), this.exchange.head().deadline())
+				- this.context.clock().milliseconds();
 		if (remaining <= 0) {
 			fail("The deadline passed before the request was sent", true);
 			return;
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
@@ -84,13 +84,16 @@
 			abandon(Problem.BODY_TOO_LARGE, "The body exceeds the limit");
 			return;
 		}
-		boolean held = this.accepted || this.body.reserve(bytes);
-		this.body.add(content.content(), last);
-		if (!this.accepted && (last || !held)) {
-			accept(last && held);
-		}
+		this.body.count(bytes, last);
 		if (this.bodyTaker != null) {
-			this.bodyTaker.sendBody(this.body.take(), this.body.isComplete());
+			this.bodyTaker.sendBody(content.content(), last);
+		}
+		else {
+			boolean held = this.accepted || this.body.reserve(bytes);
+			this.body.hold(content.content());
+			if (!this.accepted && (last || !held)) {
+				accept(last && held);
+			}
 		}
 		bodyWanted();
 	}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestBody.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestBody.java
@@ -1,23 +1,24 @@
 package org.wigeonmast.proxy.internal;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.buffer.Unpooled;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Body of one request, held in memory while it is small, otherwise passed on in pieces.
  * <p>
  * Thread safety: none; the traffic thread owns it. Invariants: a replayable body is
- * complete and stays in memory until {@link #release()}; a body of which pieces were
- * taken is not replayable.
+ * complete and stays in memory until {@link #release()}; a body of which bytes were taken
+ * is not replayable. Held pieces are copied into one buffer, because each piece would
+ * otherwise keep the whole buffer in which it was received: a body that arrives byte by
+ * byte would take hundreds of times its size.
  */
 final class RequestBody {
 
 	private final ProxyContext context;
 
-	private final List<ByteBuf> pieces = new ArrayList<>();
+	private @Nullable ByteBuf held;
 
 	private int reserved;
 
@@ -32,23 +33,31 @@
 	}
 
 	/**
-	 * Adds a piece.
-	 * @param piece the piece, which this body then owns
+	 * Counts a piece that arrived.
+	 * @param bytes the size of the piece
 	 * @param last whether it is the last one
 	 */
-	void add(ByteBuf piece, boolean last) {
-		this.received += piece.readableBytes();
+	void count(int bytes, boolean last) {
+		this.received += bytes;
 		this.complete = last;
+	}
+
+	/**
+	 * Holds a piece.
+	 * @param piece the piece, which is released
+	 */
+	void hold(ByteBuf piece) {
 		if (piece.isReadable()) {
-			this.pieces.add(piece);
-		}
-		else {
-			piece.release();
+			if (this.held == null) {
+				this.held = PooledByteBufAllocator.DEFAULT.buffer(piece.readableBytes());
+			}
+			this.held.writeBytes(piece);
 		}
+		piece.release();
 	}
 
 	/**
-	 * Reserves memory for a piece that is about to be added.
+	 * Reserves memory for a piece that is about to be held.
 	 * @param bytes the size of the piece
 	 * @return whether the body can stay in memory
 	 */
@@ -62,36 +71,31 @@
 	}
 
 	/**
-	 * Takes the pieces that have arrived and were not taken.
-	 * @return the pieces as one buffer, which the caller owns
+	 * Takes the bytes that are held.
+	 * @return the bytes, which the caller owns
 	 */
 	ByteBuf take() {
 		this.taken = true;
-		ByteBuf all = combine();
-		this.pieces.clear();
+		ByteBuf all = this.held;
+		this.held = null;
 		unreserve();
-		return all;
+		return (all != null) ? all : Unpooled.EMPTY_BUFFER;
 	}
 
 	/**
-	 * Copies a complete body without copying its bytes.
-	 * @return the body as one buffer, which the caller owns
+	 * Returns a complete body without copying its bytes.
+	 * @return the body, which the caller owns
 	 */
 	ByteBuf replay() {
-		if (this.pieces.size() > 1) {
-			ByteBuf all = combine();
-			this.pieces.clear();
-			this.pieces.add(all);
-		}
-		return this.pieces.isEmpty() ? Unpooled.EMPTY_BUFFER : this.pieces.getFirst().retainedDuplicate();
+		return (this.held != null) ? this.held.retainedDuplicate() : Unpooled.EMPTY_BUFFER;
 	}
 
 	/** Releases the memory. */
 	void release() {
-		for (ByteBuf piece : this.pieces) {
-			piece.release();
+		if (this.held != null) {
+			this.held.release();
+			this.held = null;
 		}
-		this.pieces.clear();
 		unreserve();
 	}
 
@@ -103,22 +107,10 @@
 		return this.taken;
 	}
 
-	boolean hasPieces() {
-		return !this.pieces.isEmpty();
-	}
-
 	long received() {
 		return this.received;
 	}
 
-	private ByteBuf combine() {
-		return switch (this.pieces.size()) {
-			case 0 -> Unpooled.EMPTY_BUFFER;
-			case 1 -> this.pieces.getFirst();
-			default -> Unpooled.wrappedBuffer(this.pieces.size(), this.pieces.toArray(ByteBuf[]::new));
-		};
-	}
-
 	private void unreserve() {
 		this.context.unreserve(this.reserved);
 		this.reserved = 0;
