--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/GrantBook.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/GrantBook.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.LongPredicate;
 
 import org.jspecify.annotations.Nullable;
@@ -185,7 +184,7 @@
 	 */
 	public List<Grant> removeAll(DaemonId daemon, LongPredicate condition) {
 		List<Grant> removed = new ArrayList<>();
-		for (Long ticket : Set.copyOf(this.grants.getOrDefault(daemon, Map.of()).keySet())) {
+		for (Long ticket : List.copyOf(this.grants.getOrDefault(daemon, Map.of()).keySet())) {
 			Grant grant = condition.test(ticket) ? remove(new WaitingRequest.Ticket(daemon, ticket)) : null;
 			if (grant != null) {
 				removed.add(grant);
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/KeyAdmission.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/KeyAdmission.java
@@ -1,6 +1,8 @@
 package org.wigeonmast.dispatch.internal;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -41,7 +43,7 @@
 
 	private final TimerQueue<ActiveRequest> wakeups = new TimerQueue<>();
 
-	private @Nullable Set<Region> regions;
+	private @Nullable List<Region> regions;
 
 	private long timeOfDayOffset = KeyAge.UNKNOWN_TIME;
 
@@ -64,7 +66,8 @@
 	 * @param regions the regions
 	 */
 	public void setRegions(Set<Region> regions) {
-		this.regions = Set.copyOf(regions);
+		// A fixed order keeps runs reproducible.
+		this.regions = regions.stream().sorted(Comparator.comparing(Region::name)).toList();
 	}
 
 	/**
@@ -91,7 +94,7 @@
 		boolean complete = ask(now, request, service, service.region(this.home), true);
 		if (complete && possibleRepeat(request)) {
 			complete = this.regions != null;
-			for (Region region : (this.regions != null) ? this.regions : Set.<Region>of()) {
+			for (Region region : (this.regions != null) ? this.regions : List.<Region>of()) {
 				if (complete && !region.equals(this.home)) {
 					complete = ask(now, request, service, service.region(region), false);
 				}
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/Tenure.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/internal/Tenure.java
@@ -67,7 +67,7 @@
 
 	private int declared = Integer.MAX_VALUE;
 
-	private Collection<DaemonId> daemons = Set.of();
+	private List<DaemonId> daemons = List.of();
 
 	/**
 	 * Creates a tenure that is not in force.
@@ -85,7 +85,7 @@
 	 * @param number the greatest number of daemons that run in the region
 	 */
 	public void setDaemons(Collection<DaemonId> live, int number) {
-		this.daemons = Set.copyOf(live);
+		this.daemons = List.copyOf(live);
 		this.declared = Math.max(number, 1);
 	}
 
--- a/wigeonmast-testing/src/main/java/org/wigeonmast/testing/FakeBackendServer.java
+++ b/wigeonmast-testing/src/main/java/org/wigeonmast/testing/FakeBackendServer.java
@@ -31,6 +31,9 @@
 
 	private final List<String> runs = new ArrayList<>();
 
+	private Consumer<String> startListener = (request) -> {
+	};
+
 	private double slowdown = 1;
 
 	private double failureShare;
@@ -75,6 +78,14 @@
 		this.silent = silent;
 	}
 
+	/**
+	 * Sets who is told when a request starts to run.
+	 * @param listener takes the identifier
+	 */
+	public void setStartListener(Consumer<String> listener) {
+		this.startListener = listener;
+	}
+
 	/**
 	 * Returns the identifiers of all requests that were started, in order.
 	 * @return the identifiers
@@ -124,6 +135,7 @@
 	private void start(Work work) {
 		this.running.put(work.request, work);
 		this.runs.add(work.request);
+		this.startListener.accept(work.request);
 		this.queue.schedule((long) (work.duration * this.slowdown), () -> finish(work));
 	}
 
