--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
@@ -39,6 +39,15 @@
 	/** Share of the threshold from which a server is no part of the comparison. */
 	private static final double DOUBTFUL = 0.5;
 
+	/**
+	 * Sum of scores of most servers at once that shows a change which affects all of
+	 * them.
+	 */
+	private static final double COMMON = 5;
+
+	/** Weight of earlier work after a change that affects most servers. */
+	private static final float FORGETTING = 0.1F;
+
 	/** Requests per server after which a duration has half of its weight. */
 	private static final double HALF_LIFE = 64;
 
@@ -167,20 +176,68 @@
 		while (due < this.pending.size() && this.pending.get(due).end <= now - REORDERING) {
 			due++;
 		}
-		List<Result> results = this.pending.subList(0, due);
-		for (Result result : results) {
+		for (int index = 0; index < due; index++) {
+			Result result = this.pending.get(index);
 			ServerEvidence evidence = this.servers.get(result.observation.server());
 			if (evidence != null) {
-				count(result, evidence);
+				count(index, result, evidence);
 			}
 		}
-		results.clear();
+		this.pending.subList(0, due).clear();
 		for (PeerDurations durations : this.peers) {
 			durations.refresh();
 		}
 		for (ServerEvidence evidence : this.servers.values()) {
 			scoreRunning(now, evidence);
 		}
+		for (WorkClass workClass : WorkClass.values()) {
+			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
+				if (lowerMedian(workClass, kind) > COMMON) {
+					adapt(workClass, kind);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Starts the comparison anew after a change that affects most servers; otherwise the
+	 * sums of all of them rise until the reference has followed, and one of them reaches
+	 * the threshold by chance.
+	 * @param workClass the class of work
+	 * @param kind the kind of evidence
+	 */
+	private void adapt(WorkClass workClass, Suspicion.Kind kind) {
+		for (ServerEvidence server : this.servers.values()) {
+			ClassEvidence evidence = server.of(workClass);
+			switch (kind) {
+				case SLOW -> {
+					evidence.slow = 0;
+					evidence.durations.decay(FORGETTING);
+				}
+				case FAILING -> {
+					evidence.failing = 0;
+					evidence.answers *= FORGETTING;
+					evidence.errors *= FORGETTING;
+				}
+				case UNREACHABLE -> server.paths.clear();
+			}
+		}
+		this.peers[workClass.ordinal()].sum();
+	}
+
+	private double lowerMedian(WorkClass workClass, Suspicion.Kind kind) {
+		double[] sums = new double[this.servers.size()];
+		int count = 0;
+		for (ServerEvidence server : this.servers.values()) {
+			if (server.reference) {
+				sums[count++] = sum(server, workClass, kind);
+			}
+		}
+		if (count < 2) {
+			return 0;
+		}
+		Arrays.sort(sums, 0, count);
+		return sums[(count - 1) / 2];
 	}
 
 	/**
@@ -208,39 +265,65 @@
 		return strongest;
 	}
 
-	private void count(Result result, ServerEvidence evidence) {
+	private void count(int index, Result result, ServerEvidence evidence) {
 		Observation observation = result.observation;
 		WorkClass workClass = observation.workClass();
 		DaemonId observer = observation.observer();
-		long start = result.end - observation.duration();
+		long start = result.start();
 		evidence.finished(observer, workClass, start);
 		switch (observation.result()) {
 			case SUCCEEDED, FAILED -> {
 				evidence.paths.answered(result.end, observer);
 				countAnswer(evidence, workClass, observation.result() == Observation.Result.FAILED,
-						result.end - evidence.serviceStart(start));
+						result.end - evidence.serviceStart(start, heldSlots(index, result, evidence)));
 				evidence.answered(result.end);
 			}
-			case TIMED_OUT, CONNECTION_FAILED -> {
+			case CONNECTION_FAILED -> {
 				if (evidence.paths.unanswered(result.end, observer)) {
 					countAnswer(evidence, workClass, true, 0);
 				}
 			}
+			case TIMED_OUT -> {
+				int held = heldSlots(index, result, evidence);
+				boolean ownFault = evidence.paths.unanswered(result.end, observer);
+				// A request that waited until it timed out shows nothing that the
+				// requests
+				// before it do not show.
+				if (ownFault && held < evidence.slots()) {
+					countSlow(evidence, workClass, result.end - evidence.serviceStart(start, held));
+					evidence.answered(result.end);
+				}
+			}
 			// Shedding shows load, not sickness.
 			case SHED -> evidence.paths.answered(result.end, observer);
 		}
 	}
 
+	/**
+	 * Returns how many requests were sent before one and ended after it.
+	 * @param index the position of its result
+	 * @param result its result
+	 * @param evidence the evidence about its server
+	 * @return the number, as far as reported
+	 */
+	private int heldSlots(int index, Result result, ServerEvidence evidence) {
+		int held = evidence.runningSince(result.start());
+		for (Result later : this.pending.subList(index + 1, this.pending.size())) {
+			if (later.start() < result.start() && later.observation.server().equals(result.observation.server())
+					&& !evidence.reported(later.observation.observer(), later.start())) {
+				held++;
+			}
+		}
+		return held;
+	}
+
 	private void countAnswer(ServerEvidence server, WorkClass workClass, boolean failed, long duration) {
 		PeerDurations durations = this.peers[workClass.ordinal()];
 		ClassEvidence evidence = server.of(workClass);
 		evidence.remember(failed, duration);
 		evidence.addFailing(Scores.failing(failed, durations.errorShare(evidence)));
-		if (!failed && server.slownessCounts) {
-			double rank = durations.rank(evidence, duration);
-			if (rank >= 0) {
-				evidence.addSlow(Scores.slow(rank));
-			}
+		if (!failed) {
+			countSlow(server, workClass, duration);
 		}
 		if (server.reference && !doubtful(server, workClass)) {
 			durations.counted++;
@@ -254,6 +337,14 @@
 		}
 	}
 
+	private void countSlow(ServerEvidence server, WorkClass workClass, long duration) {
+		ClassEvidence evidence = server.of(workClass);
+		double rank = this.peers[workClass.ordinal()].rank(evidence, duration);
+		if (rank >= 0 && server.slownessCounts) {
+			evidence.addSlow(Scores.slow(rank));
+		}
+	}
+
 	private boolean doubtful(ServerEvidence server, WorkClass workClass) {
 		ClassEvidence evidence = server.of(workClass);
 		double limit = DOUBTFUL * THRESHOLD;
@@ -276,10 +367,11 @@
 		// Only as many requests as there are slots can run; the others wait behind them.
 		server.running.sort(Comparator.comparingLong(ServerEvidence.Running::start));
 		int counted = Math.min(server.slots(), server.running.size());
-		for (ServerEvidence.Running request : server.running.subList(0, counted)) {
+		for (int held = 0; held < counted; held++) {
+			ServerEvidence.Running request = server.running.get(held);
 			PeerDurations durations = this.peers[request.workClass().ordinal()];
 			ClassEvidence evidence = server.of(request.workClass());
-			long elapsed = request.reported() - server.serviceStart(request.start());
+			long elapsed = request.reported() - server.serviceStart(request.start(), held);
 			double rank = durations.rank(evidence, elapsed);
 			if (rank >= 0) {
 				evidence.running += Scores.running(rank, Math.max(1, elapsed / durations.tail));
@@ -331,6 +423,11 @@
 	}
 
 	private record Result(long end, Observation observation) {
+
+		private long start() {
+			return this.end - this.observation.duration();
+		}
+
 	}
 
 	/** The work of one class over all servers. */
@@ -362,12 +459,18 @@
 			int count = Detector.this.servers.size();
 			float factor = (float) Math.pow(2, -this.counted / (HALF_LIFE * count));
 			this.counted = 0;
+			for (ServerEvidence server : Detector.this.servers.values()) {
+				server.of(this.workClass).decay(factor);
+			}
+			sum();
+		}
+
+		private void sum() {
 			this.histograms.clear();
 			this.answers = 0;
 			this.errors = 0;
 			for (ServerEvidence server : Detector.this.servers.values()) {
 				ClassEvidence evidence = server.of(this.workClass);
-				evidence.decay(factor);
 				evidence.durations.accumulate();
 				this.histograms.add(evidence.durations);
 				this.answers += evidence.answers;
