--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
@@ -45,6 +45,17 @@
 	 */
 	private static final double COMMON = 5;
 
+	/** Multiple of the peers' mean sum that does not count against a server. */
+	private static final double ALLOWANCE = 3;
+
+	/** Added to the allowance after each common change. */
+	private static final double CAUTION = 8;
+
+	private static final double GREATEST_CAUTION = 15;
+
+	/** Time in milliseconds after which caution has decayed to a part of 1/e. */
+	private static final double CAUTION_TIME = 15_000;
+
 	/** Weight of earlier work after a change that affects most servers. */
 	private static final float FORGETTING = 0.1F;
 
@@ -71,6 +82,11 @@
 
 	private final PeerDurations[] peers = new PeerDurations[WorkClass.values().length];
 
+	/** Added to the allowance after common changes, in each class of work. */
+	private final double[] caution = new double[WorkClass.values().length];
+
+	private long cautionTime;
+
 	private final List<Result> pending = new ArrayList<>();
 
 	/**
@@ -190,10 +206,14 @@
 		for (ServerEvidence evidence : this.servers.values()) {
 			scoreRunning(now, evidence);
 		}
+		double kept = Math.exp((this.cautionTime - now) / CAUTION_TIME);
+		this.cautionTime = now;
 		for (WorkClass workClass : WorkClass.values()) {
+			this.caution[workClass.ordinal()] *= kept;
 			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
-				if (lowerMedian(workClass, kind) > COMMON) {
-					adapt(workClass, kind);
+				double common = lowerMedian(workClass, kind);
+				if (common > COMMON) {
+					adapt(workClass, kind, common);
 				}
 			}
 		}
@@ -205,17 +225,19 @@
 	 * the threshold by chance.
 	 * @param workClass the class of work
 	 * @param kind the kind of evidence
+	 * @param common the sum that most servers exceed
 	 */
-	private void adapt(WorkClass workClass, Suspicion.Kind kind) {
+	private void adapt(WorkClass workClass, Suspicion.Kind kind, double common) {
+		this.caution[workClass.ordinal()] = Math.min(GREATEST_CAUTION, this.caution[workClass.ordinal()] + CAUTION);
 		for (ServerEvidence server : this.servers.values()) {
 			ClassEvidence evidence = server.of(workClass);
 			switch (kind) {
 				case SLOW -> {
-					evidence.slow = 0;
+					evidence.addSlow(-common);
 					evidence.durations.decay(FORGETTING);
 				}
 				case FAILING -> {
-					evidence.failing = 0;
+					evidence.addFailing(-common);
 					evidence.answers *= FORGETTING;
 					evidence.errors *= FORGETTING;
 				}
@@ -255,9 +277,9 @@
 			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
 				double sum = sum(evidence, workClass, kind);
 				if (sum > strongest.strength()) {
-					double median = median(evidence, workClass, kind);
-					if (sum - median > strongest.strength()) {
-						strongest = describe(evidence, workClass, kind, sum - median, median);
+					double allowance = allowance(evidence, workClass, kind);
+					if (sum - allowance > strongest.strength()) {
+						strongest = describe(evidence, workClass, kind, sum - allowance, allowance);
 					}
 				}
 			}
@@ -348,9 +370,9 @@
 	private boolean doubtful(ServerEvidence server, WorkClass workClass) {
 		ClassEvidence evidence = server.of(workClass);
 		double limit = DOUBTFUL * THRESHOLD;
-		return (evidence.slow > limit && evidence.slow - median(server, workClass, Suspicion.Kind.SLOW) > limit)
+		return (evidence.slow > limit && evidence.slow - allowance(server, workClass, Suspicion.Kind.SLOW) > limit)
 				|| (evidence.failing > limit
-						&& evidence.failing - median(server, workClass, Suspicion.Kind.FAILING) > limit);
+						&& evidence.failing - allowance(server, workClass, Suspicion.Kind.FAILING) > limit);
 	}
 
 	private void scoreRunning(long now, ServerEvidence server) {
@@ -392,7 +414,15 @@
 		return (server.endpointUnhealthy && sum > 0) ? sum + ENDPOINT_SCORE : sum;
 	}
 
-	private double median(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind) {
+	/**
+	 * Returns what a sum must exceed the threshold by: a multiple of the mean of the
+	 * peers' sums without the highest quarter, which may be unhealthy, too.
+	 * @param server the server
+	 * @param workClass the class of work
+	 * @param kind the kind of evidence
+	 * @return the allowance
+	 */
+	private double allowance(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind) {
 		double[] sums = new double[this.servers.size()];
 		int count = 0;
 		for (ServerEvidence peer : this.servers.values()) {
@@ -400,24 +430,25 @@
 				sums[count++] = sum(peer, workClass, kind);
 			}
 		}
-		if (count == 0) {
+		int kept = count - (count + 3) / 4;
+		if (kept == 0) {
 			return 0;
 		}
 		Arrays.sort(sums, 0, count);
-		return sums[count / 2];
+		return this.caution[workClass.ordinal()] + ALLOWANCE * Arrays.stream(sums, 0, kept).sum() / kept;
 	}
 
 	private Suspicion describe(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind, double strength,
-			double median) {
+			double allowance) {
 		PeerDurations durations = this.peers[workClass.ordinal()];
 		ClassEvidence evidence = server.of(workClass);
 		double percent = 100;
 		return switch (kind) {
 			case SLOW ->
-				new Suspicion(kind, workClass, strength, median, evidence.typicalDuration(), durations.median());
-			case FAILING -> new Suspicion(kind, workClass, strength, median, percent * evidence.recentErrors(),
+				new Suspicion(kind, workClass, strength, allowance, evidence.typicalDuration(), durations.median());
+			case FAILING -> new Suspicion(kind, workClass, strength, allowance, percent * evidence.recentErrors(),
 					percent * durations.errorShare(evidence));
-			case UNREACHABLE -> new Suspicion(kind, workClass, strength, median,
+			case UNREACHABLE -> new Suspicion(kind, workClass, strength, allowance,
 					percent * server.paths.failingObservers() / Math.max(1, server.paths.knownObservers()), 0);
 		};
 	}
