--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthMonitor.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/HealthMonitor.java
@@ -177,7 +177,7 @@
 		switch (judgement.state()) {
 			case SERVING, RAMPING -> {
 				Suspicion suspicion = this.detector.suspicion(server);
-				if (suspicion.strength() >= judgement.threshold()) {
+				if (suspicion.strength() >= Detector.THRESHOLD) {
 					suspect(now, judgement, suspicion, effects);
 				}
 				else if (judgement.state() == State.RAMPING && judgement.over(now)) {
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
@@ -18,10 +18,10 @@
  * <p>
  * For each server and class of work it keeps cumulative sums of log-likelihood ratios:
  * slow against the ranks of the peers' durations, failing against the peers' share of
- * errors. What counts is the sum above the median of the peers' sums, so a change that
- * affects most servers alike is no evidence. The time that a request waited behind others
- * at its server is left out, because many requests that wait behind one long request are
- * not independent evidence.
+ * errors. What counts is the sum above the peers' sums, so a change that affects most
+ * servers alike is no evidence. The time that a request waited behind others at its
+ * server is left out, because many requests that wait behind one long request are not
+ * independent evidence.
  * <p>
  * Thread safety: none. Invariant: results count in the order of their ends, so the order
  * of arrival within {@link #REORDERING} does not matter.
@@ -59,12 +59,6 @@
 	/** Weight of earlier work after a change that affects most servers. */
 	private static final float FORGETTING = 0.1F;
 
-	/** Requests per server after which a duration has half of its weight. */
-	private static final double HALF_LIFE = 64;
-
-	/** Work of the peers from which a rank can be given. */
-	private static final double LEAST_REFERENCE = 50;
-
 	/** Time in milliseconds after which a report of requests in flight is outdated. */
 	private static final long REPORT_LIFETIME = 400;
 
@@ -74,8 +68,6 @@
 	/** Added to all evidence while an endpoint states that the server is unhealthy. */
 	private static final double ENDPOINT_SCORE = 1;
 
-	private static final double TAIL = 0.99;
-
 	private static final Comparator<Result> BY_END = Comparator.comparingLong(Result::end);
 
 	private final Map<BackendServerId, ServerEvidence> servers = new LinkedHashMap<>();
@@ -94,7 +86,7 @@
 	 */
 	public Detector() {
 		for (WorkClass workClass : WorkClass.values()) {
-			this.peers[workClass.ordinal()] = new PeerDurations(workClass);
+			this.peers[workClass.ordinal()] = new PeerDurations(workClass, this.servers.values());
 		}
 	}
 
@@ -348,7 +340,7 @@
 			countSlow(server, workClass, duration);
 		}
 		if (server.reference && !doubtful(server, workClass)) {
-			durations.counted++;
+			durations.count();
 			evidence.answers++;
 			if (failed) {
 				evidence.errors++;
@@ -396,7 +388,7 @@
 			long elapsed = request.reported() - server.serviceStart(request.start(), held);
 			double rank = durations.rank(evidence, elapsed);
 			if (rank >= 0) {
-				evidence.running += Scores.running(rank, Math.max(1, elapsed / durations.tail));
+				evidence.running += Scores.running(rank, Math.max(1, elapsed / durations.tail()));
 			}
 		}
 		for (ClassEvidence evidence : server.classes) {
@@ -461,81 +453,4 @@
 
 	}
 
-	/** The work of one class over all servers. */
-	private final class PeerDurations {
-
-		private final WorkClass workClass;
-
-		private final DurationHistogram all = new DurationHistogram();
-
-		private final List<DurationHistogram> histograms = new ArrayList<>();
-
-		private double counted;
-
-		private double tail = 1;
-
-		private float answers;
-
-		private float errors;
-
-		private PeerDurations(WorkClass workClass) {
-			this.workClass = workClass;
-		}
-
-		/** Decays and sums the work of all servers. */
-		private void refresh() {
-			if (this.counted == 0) {
-				return;
-			}
-			int count = Detector.this.servers.size();
-			float factor = (float) Math.pow(2, -this.counted / (HALF_LIFE * count));
-			this.counted = 0;
-			for (ServerEvidence server : Detector.this.servers.values()) {
-				server.of(this.workClass).decay(factor);
-			}
-			sum();
-		}
-
-		private void sum() {
-			this.histograms.clear();
-			this.answers = 0;
-			this.errors = 0;
-			for (ServerEvidence server : Detector.this.servers.values()) {
-				ClassEvidence evidence = server.of(this.workClass);
-				evidence.durations.accumulate();
-				this.histograms.add(evidence.durations);
-				this.answers += evidence.answers;
-				this.errors += evidence.errors;
-			}
-			this.all.sum(this.histograms);
-			this.tail = this.all.quantile(TAIL);
-		}
-
-		/**
-		 * Returns the rank of a duration among those of the peers.
-		 * @param evidence the evidence about the server itself
-		 * @param duration the duration in milliseconds
-		 * @return the rank, or -1 if there is too little work to compare with
-		 */
-		private double rank(ClassEvidence evidence, long duration) {
-			float total = this.all.total() - evidence.durations.total();
-			if (total < LEAST_REFERENCE) {
-				return -1;
-			}
-			int bucket = DurationHistogram.bucket(duration);
-			double rank = (this.all.below(bucket) - evidence.durations.below(bucket)) / total;
-			return Math.max(0, Math.min(1, rank));
-		}
-
-		private double errorShare(ClassEvidence evidence) {
-			float total = this.answers - evidence.answers;
-			return (total < LEAST_REFERENCE) ? 0 : Math.max(0, (this.errors - evidence.errors) / total);
-		}
-
-		private double median() {
-			return this.all.quantile(1.0 / 2);
-		}
-
-	}
-
 }
--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/PeerDurations.java
@@ -0,0 +1,110 @@
+package org.wigeonmast.health.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * The work of one class at all servers of a service, with which each one is compared.
+ * <p>
+ * Thread safety: none. Invariant: a server's own work is no part of what it is compared
+ * with.
+ */
+final class PeerDurations {
+
+	/** Requests per server after which a duration has half of its weight. */
+	private static final double HALF_LIFE = 64;
+
+	/** Work of the peers from which a rank can be given. */
+	private static final double LEAST_REFERENCE = 50;
+
+	private static final double TAIL = 0.99;
+
+	private final WorkClass workClass;
+
+	private final Collection<ServerEvidence> servers;
+
+	private final DurationHistogram all = new DurationHistogram();
+
+	private final List<DurationHistogram> histograms = new ArrayList<>();
+
+	/** Answers since the counts decayed. */
+	private double counted;
+
+	/** Start of the tail in milliseconds. */
+	private double tail = 1;
+
+	private float answers;
+
+	private float errors;
+
+	PeerDurations(WorkClass workClass, Collection<ServerEvidence> servers) {
+		this.workClass = workClass;
+		this.servers = servers;
+	}
+
+	/** Decays and sums the work of all servers. */
+	void refresh() {
+		if (this.counted == 0) {
+			return;
+		}
+		int count = this.servers.size();
+		float factor = (float) Math.pow(2, -this.counted / (HALF_LIFE * count));
+		this.counted = 0;
+		for (ServerEvidence server : this.servers) {
+			server.of(this.workClass).decay(factor);
+		}
+		sum();
+	}
+
+	void sum() {
+		this.histograms.clear();
+		this.answers = 0;
+		this.errors = 0;
+		for (ServerEvidence server : this.servers) {
+			ClassEvidence evidence = server.of(this.workClass);
+			evidence.durations.accumulate();
+			this.histograms.add(evidence.durations);
+			this.answers += evidence.answers;
+			this.errors += evidence.errors;
+		}
+		this.all.sum(this.histograms);
+		this.tail = this.all.quantile(TAIL);
+	}
+
+	/**
+	 * Returns the rank of a duration among those of the peers.
+	 * @param evidence the evidence about the server itself
+	 * @param duration the duration in milliseconds
+	 * @return the rank, or -1 if there is too little work to compare with
+	 */
+	double rank(ClassEvidence evidence, long duration) {
+		float total = this.all.total() - evidence.durations.total();
+		if (total < LEAST_REFERENCE) {
+			return -1;
+		}
+		int bucket = DurationHistogram.bucket(duration);
+		double rank = (this.all.below(bucket) - evidence.durations.below(bucket)) / total;
+		return Math.max(0, Math.min(1, rank));
+	}
+
+	double errorShare(ClassEvidence evidence) {
+		float total = this.answers - evidence.answers;
+		return (total < LEAST_REFERENCE) ? 0 : Math.max(0, (this.errors - evidence.errors) / total);
+	}
+
+	double median() {
+		return this.all.quantile(1.0 / 2);
+	}
+
+	void count() {
+		this.counted++;
+	}
+
+	double tail() {
+		return this.tail;
+	}
+
+}
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/ServerJudgement.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/ServerJudgement.java
@@ -39,9 +39,6 @@
 	/** Time in service in milliseconds after which earlier ejections are forgotten. */
 	public static final long FORGIVEN = 600_000;
 
-	/** Share of the threshold that suffices against a server that was ejected before. */
-	private static final double REPEATED = 1;
-
 	/** Weights are rounded to this part, so that a ramp causes few changes. */
 	private static final double WEIGHT_STEPS = 10;
 
@@ -135,14 +132,6 @@
 		return Math.min(LONGEST_EJECTION, FIRST_EJECTION << doublings);
 	}
 
-	/**
-	 * Returns the strength of evidence from which the server is unhealthy.
-	 * @return the threshold
-	 */
-	public double threshold() {
-		return (this.ejections > 0) ? REPEATED * Detector.THRESHOLD : Detector.THRESHOLD;
-	}
-
 	/**
 	 * Returns the judgement for dispatch.
 	 * @param now the time
--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Suspicion.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Suspicion.java
@@ -13,12 +13,12 @@
  *
  * @param kind what the evidence shows
  * @param workClass the class of work that shows it
- * @param strength the sum of scores above the median of the peers
- * @param peers the median of the peers' sums
+ * @param strength the sum of scores above the allowance
+ * @param allowance what the sum must exceed the threshold by
  * @param observed the server's figure
  * @param expected the peers' figure
  */
-public record Suspicion(Kind kind, WorkClass workClass, double strength, double peers, double observed,
+public record Suspicion(Kind kind, WorkClass workClass, double strength, double allowance, double observed,
 		double expected) {
 
 	/** No evidence. */
--- a/wigeonmast-health/src/test/java/org/wigeonmast/health/HealthMonitorTests.java
+++ b/wigeonmast-health/src/test/java/org/wigeonmast/health/HealthMonitorTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
@@ -23,6 +24,10 @@
 
 	private static final ServiceName SERVICE = new ServiceName("rota-board");
 
+	private static final FailureDomain DOMAIN = new FailureDomain(ADDIS, "a");
+
+	private static final List<DaemonId> VOTERS = List.of(new DaemonId("daemon-1", 1), new DaemonId("daemon-2", 1));
+
 	private static final int SERVERS = 8;
 
 	private static final int DAEMONS = 36;
@@ -33,6 +38,8 @@
 
 	private long now;
 
+	private boolean keepers;
+
 	@BeforeEach
 	void warmUp() {
 		run(10_000, this::healthy, (server) -> Observation.Result.SUCCEEDED);
@@ -68,6 +75,48 @@
 		assertThat(avoided()).isEmpty();
 	}
 
+	/** Guards against ejections that never end, and explanations without the reason. */
+	@Test
+	void slowServerIsEjectedUnderAPermitAndReturns() {
+		this.keepers = true;
+		this.monitor.handle(this.now, new HealthInput.VotersChanged(Map.of(DOMAIN, VOTERS)));
+		run(2_000, (server) -> healthy(server) * ((server == 3) ? 10 : 1), (server) -> Observation.Result.SUCCEEDED);
+		assertThat(state(3)).isEqualTo(ServerHealth.State.EJECTED);
+		String text = this.monitor.explain(this.now, new BackendServerId("server-3")).text();
+		assertThat(text).contains("slow short work");
+		assertThat(text.lines().count()).isAtMost(24);
+		run(15_000, this::healthy, (server) -> Observation.Result.SUCCEEDED);
+		assertThat(state(3)).isEqualTo(ServerHealth.State.RAMPING);
+		run(15_000, this::healthy, (server) -> Observation.Result.SUCCEEDED);
+		assertThat(state(3)).isEqualTo(ServerHealth.State.SERVING);
+	}
+
+	/** Guards against work that is sent to a server after it announced that it leaves. */
+	@Test
+	void leavingServerGetsNoWork() {
+		List<HealthEffect> effects = this.monitor.handle(this.now,
+				new HealthInput.AvailabilityChanged(new BackendServerId("server-3"), Availability.LEAVING));
+		assertThat(state(3)).isEqualTo(ServerHealth.State.LEAVING);
+		assertThat(this.monitor.servers(this.now).get(3).weight()).isEqualTo(0);
+		assertThat(effects.stream().anyMatch((effect) -> effect instanceof HealthEffect.Judged)).isTrue();
+	}
+
+	private ServerHealth.State state(int server) {
+		return this.monitor.servers(this.now).get(server).state();
+	}
+
+	/** Answers the requests for promises as daemons that give all of them. */
+	private void perform(List<HealthEffect> effects) {
+		for (HealthEffect effect : effects) {
+			if (this.keepers
+					&& effect instanceof HealthEffect.Send(DaemonId to, HealthMessage.PromiseRequest request)) {
+				perform(this.monitor.handle(this.now,
+						new HealthInput.Received(to, new HealthMessage.PromiseReply(SERVICE, request.permit(),
+								request.server(), request.sequence(), HealthMessage.Refusal.NONE, request.server()))));
+			}
+		}
+	}
+
 	private long healthy(int server) {
 		return Math.round(20 * Math.exp(0.7 * this.random.nextGaussian()));
 	}
@@ -83,7 +132,7 @@
 				this.monitor.handle(this.now, new HealthInput.Observed(observation, 0));
 			}
 			if (this.now >= this.monitor.nextTick()) {
-				this.monitor.tick(this.now);
+				perform(this.monitor.tick(this.now));
 			}
 		}
 	}
@@ -101,8 +150,7 @@
 		for (int server = 0; server < SERVERS; server++) {
 			servers.add(new ServicePlan.Server(new BackendServerId("server-" + server), ADDIS, 2));
 		}
-		ServicePlan plan = new ServicePlan(SERVICE, servers, 6,
-				List.of(new ServicePlan.Domain(new FailureDomain(ADDIS, "a"), 18)));
+		ServicePlan plan = new ServicePlan(SERVICE, servers, 6, List.of(new ServicePlan.Domain(DOMAIN, 3)));
 		return new HealthMonitor(new DaemonId("daemon-0", 1), ADDIS, plan);
 	}
 
