--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
@@ -18,10 +18,10 @@
  * <p>
  * For each server and class of work it keeps cumulative sums of log-likelihood ratios:
  * slow against the ranks of the peers' durations, failing against the peers' share of
- * errors. What counts is the sum above the median of the peers' sums, so a change that
- * affects most servers alike is no evidence. The time that a request waited behind others
- * at its server is left out, because many requests that wait behind one long request are
- * not independent evidence.
+ * errors. What counts is the sum above the peers' sums, so a change that affects most
+ * servers alike is no evidence. The time that a request waited behind others at its
+ * server is left out, because many requests that wait behind one long request are not
+ * independent evidence.
  * <p>
  * Thread safety: none. Invariant: results count in the order of their ends, so the order
  * of arrival within {@link #REORDERING} does not matter.
@@ -45,14 +45,19 @@
 	 */
 	private static final double COMMON = 5;
 
-	/** Weight of earlier work after a change that affects most servers. */
-	private static final float FORGETTING = 0.1F;
+	/** Multiple of the peers' mean sum that does not count against a server. */
+	private static final double ALLOWANCE = 3;
+
+	/** Added to the allowance after each common change. */
+	private static final double CAUTION = 8;
 
-	/** Requests per server after which a duration has half of its weight. */
-	private static final double HALF_LIFE = 64;
+	private static final double GREATEST_CAUTION = 15;
 
-	/** Work of the peers from which a rank can be given. */
-	private static final double LEAST_REFERENCE = 50;
+	/** Time in milliseconds after which caution has decayed to a part of 1/e. */
+	private static final double CAUTION_TIME = 15_000;
+
+	/** Weight of earlier work after a change that affects most servers. */
+	private static final float FORGETTING = 0.1F;
 
 	/** Time in milliseconds after which a report of requests in flight is outdated. */
 	private static final long REPORT_LIFETIME = 400;
@@ -63,14 +68,17 @@
 	/** Added to all evidence while an endpoint states that the server is unhealthy. */
 	private static final double ENDPOINT_SCORE = 1;
 
-	private static final double TAIL = 0.99;
-
 	private static final Comparator<Result> BY_END = Comparator.comparingLong(Result::end);
 
 	private final Map<BackendServerId, ServerEvidence> servers = new LinkedHashMap<>();
 
 	private final PeerDurations[] peers = new PeerDurations[WorkClass.values().length];
 
+	/** Added to the allowance after common changes, in each class of work. */
+	private final double[] caution = new double[WorkClass.values().length];
+
+	private long cautionTime;
+
 	private final List<Result> pending = new ArrayList<>();
 
 	/**
@@ -78,7 +86,7 @@
 	 */
 	public Detector() {
 		for (WorkClass workClass : WorkClass.values()) {
-			this.peers[workClass.ordinal()] = new PeerDurations(workClass);
+			this.peers[workClass.ordinal()] = new PeerDurations(workClass, this.servers.values());
 		}
 	}
 
@@ -190,10 +198,14 @@
 		for (ServerEvidence evidence : this.servers.values()) {
 			scoreRunning(now, evidence);
 		}
+		double kept = Math.exp((this.cautionTime - now) / CAUTION_TIME);
+		this.cautionTime = now;
 		for (WorkClass workClass : WorkClass.values()) {
+			this.caution[workClass.ordinal()] *= kept;
 			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
-				if (lowerMedian(workClass, kind) > COMMON) {
-					adapt(workClass, kind);
+				double common = lowerMedian(workClass, kind);
+				if (common > COMMON) {
+					adapt(workClass, kind, common);
 				}
 			}
 		}
@@ -205,17 +217,19 @@
 	 * the threshold by chance.
 	 * @param workClass the class of work
 	 * @param kind the kind of evidence
+	 * @param common the sum that most servers exceed
 	 */
-	private void adapt(WorkClass workClass, Suspicion.Kind kind) {
+	private void adapt(WorkClass workClass, Suspicion.Kind kind, double common) {
+		this.caution[workClass.ordinal()] = Math.min(GREATEST_CAUTION, this.caution[workClass.ordinal()] + CAUTION);
 		for (ServerEvidence server : this.servers.values()) {
 			ClassEvidence evidence = server.of(workClass);
 			switch (kind) {
 				case SLOW -> {
-					evidence.slow = 0;
+					evidence.addSlow(-common);
 					evidence.durations.decay(FORGETTING);
 				}
 				case FAILING -> {
-					evidence.failing = 0;
+					evidence.addFailing(-common);
 					evidence.answers *= FORGETTING;
 					evidence.errors *= FORGETTING;
 				}
@@ -255,9 +269,9 @@
 			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
 				double sum = sum(evidence, workClass, kind);
 				if (sum > strongest.strength()) {
-					double median = median(evidence, workClass, kind);
-					if (sum - median > strongest.strength()) {
-						strongest = describe(evidence, workClass, kind, sum - median, median);
+					double allowance = allowance(evidence, workClass, kind);
+					if (sum - allowance > strongest.strength()) {
+						strongest = describe(evidence, workClass, kind, sum - allowance, allowance);
 					}
 				}
 			}
@@ -326,7 +340,7 @@
 			countSlow(server, workClass, duration);
 		}
 		if (server.reference && !doubtful(server, workClass)) {
-			durations.counted++;
+			durations.count();
 			evidence.answers++;
 			if (failed) {
 				evidence.errors++;
@@ -348,9 +362,9 @@
 	private boolean doubtful(ServerEvidence server, WorkClass workClass) {
 		ClassEvidence evidence = server.of(workClass);
 		double limit = DOUBTFUL * THRESHOLD;
-		return (evidence.slow > limit && evidence.slow - median(server, workClass, Suspicion.Kind.SLOW) > limit)
+		return (evidence.slow > limit && evidence.slow - allowance(server, workClass, Suspicion.Kind.SLOW) > limit)
 				|| (evidence.failing > limit
-						&& evidence.failing - median(server, workClass, Suspicion.Kind.FAILING) > limit);
+						&& evidence.failing - allowance(server, workClass, Suspicion.Kind.FAILING) > limit);
 	}
 
 	private void scoreRunning(long now, ServerEvidence server) {
@@ -374,7 +388,7 @@
 			long elapsed = request.reported() - server.serviceStart(request.start(), held);
 			double rank = durations.rank(evidence, elapsed);
 			if (rank >= 0) {
-				evidence.running += Scores.running(rank, Math.max(1, elapsed / durations.tail));
+				evidence.running += Scores.running(rank, Math.max(1, elapsed / durations.tail()));
 			}
 		}
 		for (ClassEvidence evidence : server.classes) {
@@ -392,7 +406,15 @@
 		return (server.endpointUnhealthy && sum > 0) ? sum + ENDPOINT_SCORE : sum;
 	}
 
-	private double median(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind) {
+	/**
+	 * Returns what a sum must exceed the threshold by: a multiple of the mean of the
+	 * peers' sums without the highest quarter, which may be unhealthy, too.
+	 * @param server the server
+	 * @param workClass the class of work
+	 * @param kind the kind of evidence
+	 * @return the allowance
+	 */
+	private double allowance(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind) {
 		double[] sums = new double[this.servers.size()];
 		int count = 0;
 		for (ServerEvidence peer : this.servers.values()) {
@@ -400,24 +422,25 @@
 				sums[count++] = sum(peer, workClass, kind);
 			}
 		}
-		if (count == 0) {
+		int kept = count - (count + 3) / 4;
+		if (kept == 0) {
 			return 0;
 		}
 		Arrays.sort(sums, 0, count);
-		return sums[count / 2];
+		return this.caution[workClass.ordinal()] + ALLOWANCE * Arrays.stream(sums, 0, kept).sum() / kept;
 	}
 
 	private Suspicion describe(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind, double strength,
-			double median) {
+			double allowance) {
 		PeerDurations durations = this.peers[workClass.ordinal()];
 		ClassEvidence evidence = server.of(workClass);
 		double percent = 100;
 		return switch (kind) {
 			case SLOW ->
-				new Suspicion(kind, workClass, strength, median, evidence.typicalDuration(), durations.median());
-			case FAILING -> new Suspicion(kind, workClass, strength, median, percent * evidence.recentErrors(),
+				new Suspicion(kind, workClass, strength, allowance, evidence.typicalDuration(), durations.median());
+			case FAILING -> new Suspicion(kind, workClass, strength, allowance, percent * evidence.recentErrors(),
 					percent * durations.errorShare(evidence));
-			case UNREACHABLE -> new Suspicion(kind, workClass, strength, median,
+			case UNREACHABLE -> new Suspicion(kind, workClass, strength, allowance,
 					percent * server.paths.failingObservers() / Math.max(1, server.paths.knownObservers()), 0);
 		};
 	}
@@ -430,81 +453,4 @@
 
 	}
 
-	/** The work of one class over all servers. */
-	private final class PeerDurations {
-
-		private final WorkClass workClass;
-
-		private final DurationHistogram all = new DurationHistogram();
-
-		private final List<DurationHistogram> histograms = new ArrayList<>();
-
-		private double counted;
-
-		private double tail = 1;
-
-		private float answers;
-
-		private float errors;
-
-		private PeerDurations(WorkClass workClass) {
-			this.workClass = workClass;
-		}
-
-		/** Decays and sums the work of all servers. */
-		private void refresh() {
-			if (this.counted == 0) {
-				return;
-			}
-			int count = Detector.this.servers.size();
-			float factor = (float) Math.pow(2, -this.counted / (HALF_LIFE * count));
-			this.counted = 0;
-			for (ServerEvidence server : Detector.this.servers.values()) {
-				server.of(this.workClass).decay(factor);
-			}
-			sum();
-		}
-
-		private void sum() {
-			this.histograms.clear();
-			this.answers = 0;
-			this.errors = 0;
-			for (ServerEvidence server : Detector.this.servers.values()) {
-				ClassEvidence evidence = server.of(this.workClass);
-				evidence.durations.accumulate();
-				this.histograms.add(evidence.durations);
-				this.answers += evidence.answers;
-				this.errors += evidence.errors;
-			}
-			this.all.sum(this.histograms);
-			this.tail = this.all.quantile(TAIL);
-		}
-
-		/**
-		 * Returns the rank of a duration among those of the peers.
-		 * @param evidence the evidence about the server itself
-		 * @param duration the duration in milliseconds
-		 * @return the rank, or -1 if there is too little work to compare with
-		 */
-		private double rank(ClassEvidence evidence, long duration) {
-			float total = this.all.total() - evidence.durations.total();
-			if (total < LEAST_REFERENCE) {
-				return -1;
-			}
-			int bucket = DurationHistogram.bucket(duration);
-			double rank = (this.all.below(bucket) - evidence.durations.below(bucket)) / total;
-			return Math.max(0, Math.min(1, rank));
-		}
-
-		private double errorShare(ClassEvidence evidence) {
-			float total = this.answers - evidence.answers;
-			return (total < LEAST_REFERENCE) ? 0 : Math.max(0, (this.errors - evidence.errors) / total);
-		}
-
-		private double median() {
-			return this.all.quantile(1.0 / 2);
-		}
-
-	}
-
 }
