Bound the age of membership updates and end isolation as a whole

Cause: after a mass start the update queues drained for 20 minutes, since each record was passed on a number of times whether or not all knew it; a daemon that had heard nothing for a minute found its members again only one by one (7 of 35 still unreachable 15 s after healing, found by a test). Change: records are passed on for 10 s at most, and less often when others bring them; the first message after isolation clears this daemon's own verdicts.

--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/CostScenario.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/CostScenario.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 
 import org.wigeonmast.testing.EventQueue;
 
@@ -37,6 +38,12 @@
 
 	private static final int PART_SIZE = 32_768;
 
+	/**
+	 * Size of the parts in the simulation, where all daemons share one heap. The size of
+	 * a part matters to a daemon that starts empty only; that traffic is calculated.
+	 */
+	private static final int SIMULATED_PART_SIZE = 2048;
+
 	private static final long WARM_UP = 30_000;
 
 	private static final long DURATION = 120_000;
@@ -52,7 +59,7 @@
 
 	static void run(int daemons, long seed, Figures figures) {
 		long heapBefore = usedHeap();
-		SimulatedFleet fleet = new SimulatedFleet(FleetShape.of(daemons), seed, PARTS, PART_SIZE);
+		SimulatedFleet fleet = new SimulatedFleet(FleetShape.of(daemons), seed, PARTS, SIMULATED_PART_SIZE);
 		long manifestHeap = usedHeap() - heapBefore;
 		String prefix = daemons + " daemons: ";
 		fleet.startAll(120);
@@ -69,7 +76,9 @@
 		Traffic traffic = fleet.traffic();
 		figures.add(prefix + "membership sent and received, B/s", 2 * traffic.membershipBytes() / perDaemon,
 				BYTES_TARGET / 3);
-		figures.add(prefix + "manifest sent and received, B/s", 2 * traffic.manifestBytes() / perDaemon,
+		double downloads = downloadRate();
+		figures.add(prefix + "calculated downloads of empty daemons, B/s", downloads);
+		figures.add(prefix + "manifest sent and received, B/s", 2 * traffic.manifestBytes() / perDaemon + downloads,
 				BYTES_TARGET / 2);
 		figures.add(prefix + "to other regions, B/s sent", traffic.remoteBytes() / perDaemon);
 		figures.add(prefix + "messages sent and received, 1/s", 2 * traffic.messages() / perDaemon);
@@ -83,6 +92,17 @@
 				HEAP_TARGET);
 	}
 
+	/**
+	 * Calculates what the parts of the design size add to those of the simulation when
+	 * daemons start empty.
+	 * @return the bytes per second and daemon, sent and received together
+	 */
+	private static double downloadRate() {
+		SyntheticManifests samples = new SyntheticManifests(new Random(1), 8, PART_SIZE);
+		double compressed = samples.compressedPartSize() * PARTS;
+		return 2 * compressed * REPLACEMENTS_PER_DAY * 1000 / DAY / DESIGN_SIZE;
+	}
+
 	/**
 	 * Prints straight lines through the figures of all sizes.
 	 * @param sizes the sizes
--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/SyntheticManifests.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/fleet/SyntheticManifests.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import java.util.zip.Deflater;
 
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
@@ -83,6 +84,25 @@
 		return this.bytesByHash.get(hash);
 	}
 
+	/**
+	 * Returns the mean size of a part that is compressed as followers do it.
+	 * @return the size in bytes
+	 */
+	double compressedPartSize() {
+		Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+		long compressed = 0;
+		for (ManifestPart part : this.parts) {
+			deflater.reset();
+			deflater.setInput(this.bytesByHash.get(part.hash()));
+			deflater.finish();
+			while (!deflater.finished()) {
+				compressed += deflater.deflate(new byte[this.partSize]);
+			}
+		}
+		deflater.end();
+		return (double) compressed / this.parts.size();
+	}
+
 	@Override
 	public Either<List<String>, ManifestIndex> readIndex(byte[] bytes) {
 		ManifestIndex index = this.indexByHash.get(hash(bytes));
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MemberTable.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MemberTable.java
@@ -87,6 +87,19 @@
 		}
 	}
 
+	/**
+	 * Counts all members as reachable again.
+	 * @return whether one was not
+	 */
+	boolean clearUnreachable() {
+		boolean cleared = false;
+		for (Entry entry : this.entries.values()) {
+			cleared |= entry.unreachable;
+			entry.unreachable = false;
+		}
+		return cleared;
+	}
+
 	/**
 	 * Drops members that have been dead for long.
 	 * @param time the time in milliseconds since which they have been dead at least
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -63,6 +63,8 @@
 
 	private boolean isolated;
 
+	private long now;
+
 	private long startedAt;
 
 	private long lastHeard;
@@ -187,13 +189,14 @@
 			return 0;
 		}
 		long next = Math.min(this.detector.nextTick(), Math.min(this.nextReconnect, this.nextSync));
-		if (this.updates.hasNew()) {
+		if (this.updates.hasNew(this.now)) {
 			next = Math.min(next, this.nextGossip);
 		}
 		return (this.joined) ? next : Math.min(next, this.nextJoin);
 	}
 
 	private void begin(long now) {
+		this.now = now;
 		if (!this.started) {
 			this.started = true;
 			this.startedAt = now;
@@ -254,15 +257,22 @@
 	}
 
 	private void checkIsolation(long now) {
-		boolean silent = this.table.liveCount() > 0 && now - this.lastHeard >= this.settings.isolationTimeout();
-		if (silent != this.isolated) {
-			this.isolated = silent;
-			report((silent) ? MembershipEvent.ISOLATED : MembershipEvent.CONNECTED, now - this.lastHeard);
+		if (!this.isolated && this.table.liveCount() > 0 && now - this.lastHeard >= this.settings.isolationTimeout()) {
+			this.isolated = true;
+			report(MembershipEvent.ISOLATED, now - this.lastHeard);
 		}
 	}
 
+	private void endIsolation(long now) {
+		this.isolated = false;
+		// Nobody answered, so the fault was this daemon's, and so are its verdicts.
+		this.detector.beQuiet(now + this.settings.probeInterval());
+		this.changed |= this.table.clearUnreachable();
+		report(MembershipEvent.CONNECTED);
+	}
+
 	private void push() {
-		if (!this.updates.hasNew() || this.table.liveCount() == 0) {
+		if (!this.updates.hasNew(this.now) || this.table.liveCount() == 0) {
 			return;
 		}
 		List<Member> news = takeUpdates(null);
@@ -274,7 +284,7 @@
 	private void publish(long now, MemberPhase phase) {
 		if (phase != this.self.phase()) {
 			this.self = this.self.published(this.self.revision() + 1, phase);
-			this.updates.add(this.self);
+			this.updates.add(now, this.self);
 			this.changed = true;
 			audit(now, this.self, Map.of("phase", phase.toString()));
 		}
@@ -293,6 +303,9 @@
 			merge(now, sender);
 			return;
 		}
+		if (this.isolated) {
+			endIsolation(now);
+		}
 		this.lastHeard = now;
 		Entry known = this.table.get(sender.name());
 		boolean returned = known == null || known.isDead();
@@ -397,11 +410,14 @@
 		else if (record.replaces(entry.member())) {
 			replace(now, entry.member(), record);
 		}
+		else {
+			this.updates.heardAgain(record);
+		}
 	}
 
 	private void replace(long now, @Nullable Member old, Member record) {
 		this.table.put(now, record);
-		this.updates.add(record);
+		this.updates.add(now, record);
 		this.changed = true;
 		boolean dead = record.status() == MemberStatus.DEAD;
 		if (old == null || !old.id().equals(record.id()) || dead != (old.status() == MemberStatus.DEAD)) {
@@ -423,7 +439,7 @@
 		boolean sameStart = record.id().equals(this.self.id());
 		if (sameStart && record.status() != MemberStatus.LIVE && record.revision() >= this.self.revision()) {
 			this.self = this.self.published(record.revision() + 1, this.self.phase());
-			this.updates.add(this.self);
+			this.updates.add(now, this.self);
 			report(MembershipEvent.REFUTED, record.status(), this.self.revision());
 			audit(now, this.self, Map.of("refuted", record.status().toString()));
 		}
@@ -440,7 +456,7 @@
 	 * @return the records
 	 */
 	private List<Member> takeUpdates(@Nullable String name) {
-		List<Member> taken = this.updates.take(this.settings.updatesPerMessage(), this.table.liveCount());
+		List<Member> taken = this.updates.take(this.now, this.settings.updatesPerMessage(), this.table.liveCount());
 		Entry entry = (name != null) ? this.table.get(name) : null;
 		if (entry != null && entry.member().status() != MemberStatus.LIVE) {
 			taken.remove(entry.member());
--- /dev/null
+++ b/wigeonmast-membership/src/test/java/org/wigeonmast/membership/ownership/OwnershipTests.java
@@ -0,0 +1,96 @@
+package org.wigeonmast.membership.ownership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.membership.Member;
+import org.wigeonmast.membership.MemberPhase;
+import org.wigeonmast.membership.MemberStatus;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against daemons with one view that disagree on an owner, against owners that
+ * change without need, and against an uneven load of owners.
+ */
+class OwnershipTests {
+
+	private static final Region REGION = new Region("addis");
+
+	private static final int DAEMONS = 18;
+
+	private static final int SERVICES = 980;
+
+	private final List<Member> members = new ArrayList<>();
+
+	private final Ownership ownership = new Ownership();
+
+	OwnershipTests() {
+		for (int i = 0; i < DAEMONS; i++) {
+			this.members.add(member("daemon-" + i, REGION, MemberPhase.READY));
+		}
+		this.ownership.update(this.members);
+	}
+
+	@Test
+	void ranksDoNotDependOnTheOrderOfMembers() {
+		Ownership other = new Ownership();
+		Collections.shuffle(this.members, new Random(1));
+		other.update(this.members);
+		for (int i = 0; i < SERVICES; i++) {
+			assertThat(other.rank(service(i), REGION)).isEqualTo(this.ownership.rank(service(i), REGION));
+		}
+	}
+
+	@Test
+	void whenAMemberGoesTheOthersKeepTheirOrder() {
+		Ownership without = new Ownership();
+		Member gone = this.members.removeLast();
+		without.update(this.members);
+		for (int i = 0; i < SERVICES; i++) {
+			List<Member> expected = new ArrayList<>(this.ownership.rank(service(i), REGION));
+			expected.remove(gone);
+			assertThat(without.rank(service(i), REGION)).isEqualTo(expected);
+		}
+	}
+
+	@Test
+	void servicesAreSpreadEvenly() {
+		Map<String, Integer> owned = new HashMap<>();
+		for (int i = 0; i < SERVICES; i++) {
+			owned.merge(this.ownership.rank(service(i), REGION).getFirst().name(), 1, Integer::sum);
+		}
+		assertThat(owned).hasSize(DAEMONS);
+		assertThat(Collections.max(owned.values())).isLessThan(2 * SERVICES / DAEMONS);
+	}
+
+	@Test
+	void onlyReadyMembersOwnAndOnlyLeavingOnesDoNotRead() {
+		List<Member> mixed = List.of(member("a", REGION, MemberPhase.STARTING), member("b", REGION, MemberPhase.READY),
+				member("c", REGION, MemberPhase.LEAVING), member("d", new Region("dire"), MemberPhase.READY));
+		this.ownership.update(mixed);
+		assertThat(this.ownership.rank(service(1), REGION)).containsExactly(mixed.get(1));
+		assertThat(this.ownership.readers(REGION)).containsExactly(mixed.get(0), mixed.get(1));
+		assertThat(this.ownership.owner(service(1), new Region("none"))).isNull();
+	}
+
+	private static ServiceName service(int number) {
+		return new ServiceName("service-" + number);
+	}
+
+	private static Member member(String name, Region region, MemberPhase phase) {
+		return new Member(new DaemonId(name, 1), 0, new HostAddress(name, 1), new FailureDomain(region, "one"), phase,
+				MemberStatus.LIVE);
+	}
+
+}
