Keep the operators' interface until the end of a planned stop

Cause: Jooby's shutdown hook ended the interface on SIGTERM, so the load balancer's check found no listener instead of 503 with the reason. The demo's checks are tested for each guarantee that can break.

--- a/wigeonmast-admin/src/main/java/org/wigeonmast/admin/AdminServer.java
+++ b/wigeonmast-admin/src/main/java/org/wigeonmast/admin/AdminServer.java
@@ -7,8 +7,8 @@
 import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StartupSummary;
-import io.jooby.netty.NettyServer;
 import org.wigeonmast.admin.internal.AdminApplication;
+import org.wigeonmast.admin.internal.AdminNettyServer;
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.HostAddress;
 
@@ -47,7 +47,7 @@
 		Jooby application = new AdminApplication(sources);
 		application.setExecutionMode(ExecutionMode.WORKER);
 		application.setStartupSummary(List.of(StartupSummary.NONE));
-		this.server = new NettyServer().setOptions(options);
+		this.server = new AdminNettyServer().setOptions(options);
 		try {
 			this.server.start(application);
 		}
--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoChecks.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoChecks.java
@@ -2,7 +2,6 @@
 
 import java.io.PrintStream;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -10,7 +9,6 @@
 import java.util.TreeMap;
 
 import org.wigeonmast.cli.demo.DemoCall.Result;
-import org.wigeonmast.cli.standin.StandInBackendServer;
 
 /**
  * Checks the guarantees against what the backend servers ran, and prints the results.
@@ -47,11 +45,9 @@
 	 * Checks the requests against the runs of the backend servers.
 	 * @param sent the number of requests that were sent
 	 * @param calls the requests that ended
-	 * @param servers the backend servers
+	 * @param runs how often the backend servers ran each request
 	 */
-	void checkCalls(int sent, List<DemoCall> calls, List<StandInBackendServer> servers) {
-		Map<String, Integer> runs = new HashMap<>();
-		servers.forEach((server) -> server.runs().forEach((id) -> runs.merge(id, 1, Integer::sum)));
+	void checkCalls(int sent, List<DemoCall> calls, Map<String, Integer> runs) {
 		check(calls.size() == sent, "every request ended: " + calls.size() + " of " + sent);
 		check(count(calls, Result.FOREIGN) == 0, "every answer was complete and belonged to its request");
 		check(count(calls, Result.BROKEN) == 0, "no connection broke, also during the planned stop");
--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoFleet.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoFleet.java
@@ -4,7 +4,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.apache.logging.log4j.Level;
 import org.wigeonmast.cli.standin.StandInBackendServer;
@@ -95,6 +97,16 @@
 		return this.servers;
 	}
 
+	/**
+	 * Returns how often the backend servers ran each request.
+	 * @return the numbers by the request's identifier
+	 */
+	Map<String, Integer> runs() {
+		Map<String, Integer> runs = new HashMap<>();
+		this.servers.forEach((server) -> server.runs().forEach((id) -> runs.merge(id, 1, Integer::sum)));
+		return runs;
+	}
+
 	List<DemoDaemon> daemons() {
 		return this.daemons;
 	}
--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoScript.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoScript.java
@@ -105,7 +105,7 @@
 				"at most " + this.observer.greatestEjected() + " of 3 servers were ejected at once, with a floor of 2");
 		this.checks.check(manifest >= 0, "the new manifest was in force on all daemons, after " + manifest + " ms");
 		this.checks.check(stopped >= 0, "the planned stop ended, after " + stopped + " ms");
-		this.checks.checkCalls(this.load.sent(), this.load.calls(), this.fleet.servers());
+		this.checks.checkCalls(this.load.sent(), this.load.calls(), this.fleet.runs());
 		return this.checks.allHeld();
 	}
 
--- /dev/null
+++ b/wigeonmast-cli/src/test/java/org/wigeonmast/cli/demo/DemoChecksTests.java
@@ -0,0 +1,35 @@
+package org.wigeonmast.cli.demo;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.cli.demo.DemoCall.Result;
+
+/**
+ * Guards against a demo that reports success although a guarantee did not hold.
+ */
+class DemoChecksTests {
+
+	private static boolean held(int sent, Result result, boolean idempotent, int runs) {
+		DemoChecks checks = new DemoChecks(new PrintStream(new ByteArrayOutputStream()));
+		checks.checkCalls(sent, List.of(new DemoCall("r1", idempotent, 0, 1, result, "")), Map.of("r1", runs));
+		return checks.allHeld();
+	}
+
+	@Test
+	void eachBrokenGuaranteeIsReported() {
+		Truth.assertThat(held(1, Result.ANSWERED, false, 1)).isTrue();
+		Truth.assertThat(held(1, Result.ANSWERED, true, 2)).isTrue();
+		Truth.assertThat(held(1, Result.NOT_RUN, false, 0)).isTrue();
+		Truth.assertThat(held(1, Result.ANSWERED, false, 2)).isFalse();
+		Truth.assertThat(held(1, Result.NOT_RUN, true, 1)).isFalse();
+		Truth.assertThat(held(1, Result.FOREIGN, true, 1)).isFalse();
+		Truth.assertThat(held(1, Result.BROKEN, true, 1)).isFalse();
+		Truth.assertThat(held(2, Result.ANSWERED, true, 1)).isFalse();
+	}
+
+}
