Push membership updates up to three times

Cause: an update that was heard twice before its first push was not pushed at all but waited for probes. Change: a record heard again counts as one transmission, and records with fewer than three are pushed.

--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -189,7 +189,7 @@
 			return 0;
 		}
 		long next = Math.min(this.detector.nextTick(), Math.min(this.nextReconnect, this.nextSync));
-		if (this.updates.hasNew(this.now)) {
+		if (this.updates.hasUrgent(this.now)) {
 			next = Math.min(next, this.nextGossip);
 		}
 		return (this.joined) ? next : Math.min(next, this.nextJoin);
@@ -272,7 +272,7 @@
 	}
 
 	private void push() {
-		if (!this.updates.hasNew(this.now) || this.table.liveCount() == 0) {
+		if (!this.updates.hasUrgent(this.now) || this.table.liveCount() == 0) {
 			return;
 		}
 		List<Member> news = takeUpdates(null);
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/UpdateQueue.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/UpdateQueue.java
@@ -25,7 +25,10 @@
 	private static final long MAXIMUM_AGE = 10_000;
 
 	/** Transmissions for which one counts that brings a record that is known. */
-	private static final int HEARD_AGAIN = 2;
+	private static final int HEARD_AGAIN = 1;
+
+	/** Transmissions up to which a record does not wait for a probe. */
+	private static final int PUSHES = 3;
 
 	private final Map<String, Item> current = new HashMap<>();
 
@@ -55,13 +58,13 @@
 	}
 
 	/**
-	 * Returns whether a record has not been passed on at all.
+	 * Returns whether a record is to be pushed without waiting for a probe.
 	 * @param now the time in milliseconds
 	 * @return whether there is one
 	 */
-	boolean hasNew(long now) {
+	boolean hasUrgent(long now) {
 		Item first = peek(now);
-		return first != null && first.transmissions == 0;
+		return first != null && first.transmissions < PUSHES;
 	}
 
 	/**
