--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
@@ -16,7 +16,7 @@
  */
 public final class ComponentDriver<M, E> {
 
-	private final ControlThread control;
+	private final ControlLoop control;
 
 	private final Component<M, E> component;
 
@@ -32,7 +32,7 @@
 	 * @param component the component
 	 * @param effects carries out one effect
 	 */
-	public ComponentDriver(ControlThread control, Component<M, E> component, Consumer<E> effects) {
+	public ComponentDriver(ControlLoop control, Component<M, E> component, Consumer<E> effects) {
 		this.control = control;
 		this.component = component;
 		this.effects = effects;
@@ -78,7 +78,9 @@
 		long next = this.component.nextTick();
 		if (next < this.scheduledTick) {
 			this.scheduledTick = next;
-			long delay = Math.max(0, next - this.control.clock().milliseconds());
+			long now = this.control.clock().milliseconds();
+			// The earliest possible time must not overflow into a delay of ages.
+			long delay = (next <= now) ? 0 : next - now;
 			this.control.schedule(delay, () -> {
 				if (this.scheduledTick == next) {
 					tick();
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
@@ -1,10 +1,10 @@
 package org.wigeonmast.daemon.internal;
 
-import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
+import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.daemon.DaemonEvent;
@@ -16,7 +16,7 @@
  * all given tasks run one after the other on the control thread. Invariant: a task that
  * throws is logged and does not stop later tasks.
  */
-public final class ControlThread implements Executor, AutoCloseable {
+public final class ControlThread implements ControlLoop, AutoCloseable {
 
 	private static final long CLOSE_TIMEOUT_MILLISECONDS = 1000;
 
@@ -26,6 +26,8 @@
 
 	private final ScheduledThreadPoolExecutor executor;
 
+	private volatile @Nullable Thread thread;
+
 	/**
 	 * Creates the thread.
 	 * @param clock the clock
@@ -35,30 +37,19 @@
 		this.executor = new ScheduledThreadPoolExecutor(1, (task) -> {
 			Thread thread = new Thread(task, "control");
 			thread.setDaemon(true);
+			this.thread = thread;
 			return thread;
 		});
 		this.executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
 		this.executor.setRemoveOnCancelPolicy(true);
 	}
 
-	/**
-	 * Returns the clock of the control thread.
-	 * @return the clock
-	 */
+	@Override
 	public MillisecondClock clock() {
 		return this.clock;
 	}
 
 	@Override
-	public void execute(Runnable task) {
-		schedule(0, task);
-	}
-
-	/**
-	 * Runs a task later.
-	 * @param delay the delay in milliseconds
-	 * @param task the task
-	 */
 	public void schedule(long delay, Runnable task) {
 		try {
 			this.executor.schedule(() -> run(task), delay, TimeUnit.MILLISECONDS);
@@ -71,6 +62,9 @@
 	@Override
 	public void close() {
 		this.executor.shutdown();
+		if (Thread.currentThread().equals(this.thread)) {
+			return;
+		}
 		try {
 			this.executor.awaitTermination(CLOSE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
 		}
--- /dev/null
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/internal/Detector.java
@@ -0,0 +1,456 @@
+package org.wigeonmast.health.internal;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.health.HealthInput;
+import org.wigeonmast.health.Observation;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * Compares the backend servers of one service and region with each other.
+ * <p>
+ * For each server and class of work it keeps cumulative sums of log-likelihood ratios:
+ * slow against the ranks of the peers' durations, failing against the peers' share of
+ * errors. What counts is the sum above the peers' sums, so a change that affects most
+ * servers alike is no evidence. The time that a request waited behind others at its
+ * server is left out, because many requests that wait behind one long request are not
+ * independent evidence.
+ * <p>
+ * Thread safety: none. Invariant: results count in the order of their ends, so the order
+ * of arrival within {@link #REORDERING} does not matter.
+ */
+public final class Detector {
+
+	/** Strength from which a server counts as unhealthy. */
+	public static final double THRESHOLD = 18;
+
+	/**
+	 * Time in milliseconds for which results are held until earlier ones have arrived.
+	 */
+	public static final long REORDERING = 100;
+
+	/** Share of the threshold from which a server is no part of the comparison. */
+	private static final double DOUBTFUL = 0.5;
+
+	/**
+	 * Sum of scores of most servers at once that shows a change which affects all of
+	 * them.
+	 */
+	private static final double COMMON = 5;
+
+	/** Multiple of the peers' mean sum that does not count against a server. */
+	private static final double ALLOWANCE = 3;
+
+	/** Added to the allowance after each common change. */
+	private static final double CAUTION = 8;
+
+	private static final double GREATEST_CAUTION = 15;
+
+	/** Time in milliseconds after which caution has decayed to a part of 1/e. */
+	private static final double CAUTION_TIME = 15_000;
+
+	/** Weight of earlier work after a change that affects most servers. */
+	private static final float FORGETTING = 0.1F;
+
+	/** Time in milliseconds after which a report of requests in flight is outdated. */
+	private static final long REPORT_LIFETIME = 400;
+
+	/** Requests in flight alone make at most this share of the threshold. */
+	private static final double RUNNING_SHARE = 0.8;
+
+	/** Added to all evidence while an endpoint states that the server is unhealthy. */
+	private static final double ENDPOINT_SCORE = 1;
+
+	private static final Comparator<Result> BY_END = Comparator.comparingLong(Result::end);
+
+	private final Map<BackendServerId, ServerEvidence> servers = new LinkedHashMap<>();
+
+	private final PeerDurations[] peers = new PeerDurations[WorkClass.values().length];
+
+	/** Added to the allowance after common changes, in each class of work. */
+	private final double[] caution = new double[WorkClass.values().length];
+
+	private long cautionTime;
+
+	private final List<Result> pending = new ArrayList<>();
+
+	/**
+	 * Creates a detector without servers.
+	 */
+	public Detector() {
+		for (WorkClass workClass : WorkClass.values()) {
+			this.peers[workClass.ordinal()] = new PeerDurations(workClass, this.servers.values());
+		}
+	}
+
+	/**
+	 * Adds a server.
+	 * @param server the server
+	 * @param slots the number of requests that it runs at once
+	 */
+	public void add(BackendServerId server, int slots) {
+		ServerEvidence known = this.servers.get(server);
+		if (known == null || known.slots() != Math.max(1, slots)) {
+			this.servers.put(server, new ServerEvidence(slots));
+		}
+	}
+
+	/**
+	 * Removes a server.
+	 * @param server the server
+	 */
+	public void remove(BackendServerId server) {
+		this.servers.remove(server);
+	}
+
+	/**
+	 * Forgets what is known about a server.
+	 * @param server the server
+	 */
+	public void clear(BackendServerId server) {
+		ServerEvidence evidence = this.servers.get(server);
+		if (evidence != null) {
+			evidence.clear();
+		}
+	}
+
+	/**
+	 * Sets how the work of a server is used.
+	 * @param server the server
+	 * @param reference whether others are compared with it
+	 * @param slownessCounts whether slow work is evidence against it
+	 */
+	public void use(BackendServerId server, boolean reference, boolean slownessCounts) {
+		ServerEvidence evidence = this.servers.get(server);
+		if (evidence != null) {
+			evidence.reference = reference;
+			evidence.slownessCounts = slownessCounts;
+		}
+	}
+
+	/**
+	 * Records the reading of a health or load endpoint.
+	 * @param server the server
+	 * @param healthy what it states
+	 */
+	public void endpoint(BackendServerId server, boolean healthy) {
+		ServerEvidence evidence = this.servers.get(server);
+		if (evidence != null) {
+			evidence.endpointUnhealthy = !healthy;
+		}
+	}
+
+	/**
+	 * Takes the result of a request.
+	 * @param end when it ended
+	 * @param observation what was seen
+	 */
+	public void observe(long end, Observation observation) {
+		this.pending.add(new Result(end, observation));
+	}
+
+	/**
+	 * Takes the requests that a daemon has in flight.
+	 * @param now the time of the report
+	 * @param report the report
+	 */
+	public void inFlight(long now, HealthInput.InFlight report) {
+		for (ServerEvidence evidence : this.servers.values()) {
+			evidence.replaceRunning(report.observer());
+		}
+		for (HealthInput.RunningRequest request : report.requests()) {
+			ServerEvidence evidence = this.servers.get(request.server());
+			if (evidence != null) {
+				evidence.addRunning(new ServerEvidence.Running(report.observer(), request.workClass(),
+						now - request.elapsed(), now));
+			}
+		}
+	}
+
+	/**
+	 * Counts all results that are due.
+	 * @param now the time
+	 */
+	public void advance(long now) {
+		this.pending.sort(BY_END);
+		int due = 0;
+		while (due < this.pending.size() && this.pending.get(due).end <= now - REORDERING) {
+			due++;
+		}
+		for (int index = 0; index < due; index++) {
+			Result result = this.pending.get(index);
+			ServerEvidence evidence = this.servers.get(result.observation.server());
+			if (evidence != null) {
+				count(index, result, evidence);
+			}
+		}
+		this.pending.subList(0, due).clear();
+		for (PeerDurations durations : this.peers) {
+			durations.refresh();
+		}
+		for (ServerEvidence evidence : this.servers.values()) {
+			scoreRunning(now, evidence);
+		}
+		double kept = Math.exp((this.cautionTime - now) / CAUTION_TIME);
+		this.cautionTime = now;
+		for (WorkClass workClass : WorkClass.values()) {
+			this.caution[workClass.ordinal()] *= kept;
+			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
+				double common = lowerMedian(workClass, kind);
+				if (common > COMMON) {
+					adapt(workClass, kind, common);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Starts the comparison anew after a change that affects most servers; otherwise the
+	 * sums of all of them rise until the reference has followed, and one of them reaches
+	 * the threshold by chance.
+	 * @param workClass the class of work
+	 * @param kind the kind of evidence
+	 * @param common the sum that most servers exceed
+	 */
+	private void adapt(WorkClass workClass, Suspicion.Kind kind, double common) {
+		this.caution[workClass.ordinal()] = Math.min(GREATEST_CAUTION, this.caution[workClass.ordinal()] + CAUTION);
+		for (ServerEvidence server : this.servers.values()) {
+			ClassEvidence evidence = server.of(workClass);
+			switch (kind) {
+				case SLOW -> {
+					evidence.addSlow(-common);
+					evidence.durations.decay(FORGETTING);
+				}
+				case FAILING -> {
+					evidence.addFailing(-common);
+					evidence.answers *= FORGETTING;
+					evidence.errors *= FORGETTING;
+				}
+				case UNREACHABLE -> server.paths.clear();
+			}
+		}
+		this.peers[workClass.ordinal()].sum();
+	}
+
+	private double lowerMedian(WorkClass workClass, Suspicion.Kind kind) {
+		double[] sums = new double[this.servers.size()];
+		int count = 0;
+		for (ServerEvidence server : this.servers.values()) {
+			if (server.reference) {
+				sums[count++] = sum(server, workClass, kind);
+			}
+		}
+		if (count < 2) {
+			return 0;
+		}
+		Arrays.sort(sums, 0, count);
+		return sums[(count - 1) / 2];
+	}
+
+	/**
+	 * Returns the strongest evidence against a server.
+	 * @param server the server
+	 * @return the evidence
+	 */
+	public Suspicion suspicion(BackendServerId server) {
+		ServerEvidence evidence = this.servers.get(server);
+		if (evidence == null) {
+			return Suspicion.NONE;
+		}
+		Suspicion strongest = Suspicion.NONE;
+		for (WorkClass workClass : WorkClass.values()) {
+			for (Suspicion.Kind kind : Suspicion.Kind.values()) {
+				double sum = sum(evidence, workClass, kind);
+				if (sum > strongest.strength()) {
+					double allowance = allowance(evidence, workClass, kind);
+					if (sum - allowance > strongest.strength()) {
+						strongest = describe(evidence, workClass, kind, sum - allowance, allowance);
+					}
+				}
+			}
+		}
+		return strongest;
+	}
+
+	private void count(int index, Result result, ServerEvidence evidence) {
+		Observation observation = result.observation;
+		WorkClass workClass = observation.workClass();
+		DaemonId observer = observation.observer();
+		long start = result.start();
+		evidence.finished(observer, workClass, start);
+		switch (observation.result()) {
+			case SUCCEEDED, FAILED -> {
+				evidence.paths.answered(result.end, observer);
+				countAnswer(evidence, workClass, observation.result() == Observation.Result.FAILED,
+						result.end - evidence.serviceStart(start, heldSlots(index, result, evidence)));
+				evidence.answered(result.end);
+			}
+			case CONNECTION_FAILED -> {
+				if (evidence.paths.unanswered(result.end, observer)) {
+					countAnswer(evidence, workClass, true, 0);
+				}
+			}
+			case TIMED_OUT -> {
+				int held = heldSlots(index, result, evidence);
+				boolean ownFault = evidence.paths.unanswered(result.end, observer);
+				// A request that waited until it timed out shows nothing that the
+				// requests
+				// before it do not show.
+				if (ownFault && held < evidence.slots()) {
+					countSlow(evidence, workClass, result.end - evidence.serviceStart(start, held));
+					evidence.answered(result.end);
+				}
+			}
+			// Shedding shows load, not sickness.
+			case SHED -> evidence.paths.answered(result.end, observer);
+		}
+	}
+
+	/**
+	 * Returns how many requests were sent before one and ended after it.
+	 * @param index the position of its result
+	 * @param result its result
+	 * @param evidence the evidence about its server
+	 * @return the number, as far as reported
+	 */
+	private int heldSlots(int index, Result result, ServerEvidence evidence) {
+		int held = evidence.runningSince(result.start());
+		for (Result later : this.pending.subList(index + 1, this.pending.size())) {
+			if (later.start() < result.start() && later.observation.server().equals(result.observation.server())
+					&& !evidence.reported(later.observation.observer(), later.start())) {
+				held++;
+			}
+		}
+		return held;
+	}
+
+	private void countAnswer(ServerEvidence server, WorkClass workClass, boolean failed, long duration) {
+		PeerDurations durations = this.peers[workClass.ordinal()];
+		ClassEvidence evidence = server.of(workClass);
+		evidence.remember(failed, duration);
+		evidence.addFailing(Scores.failing(failed, durations.errorShare(evidence)));
+		if (!failed) {
+			countSlow(server, workClass, duration);
+		}
+		if (server.reference && !doubtful(server, workClass)) {
+			durations.count();
+			evidence.answers++;
+			if (failed) {
+				evidence.errors++;
+			}
+			else {
+				evidence.durations.add(duration);
+			}
+		}
+	}
+
+	private void countSlow(ServerEvidence server, WorkClass workClass, long duration) {
+		ClassEvidence evidence = server.of(workClass);
+		double rank = this.peers[workClass.ordinal()].rank(evidence, duration);
+		if (rank >= 0 && server.slownessCounts) {
+			evidence.addSlow(Scores.slow(rank));
+		}
+	}
+
+	private boolean doubtful(ServerEvidence server, WorkClass workClass) {
+		ClassEvidence evidence = server.of(workClass);
+		double limit = DOUBTFUL * THRESHOLD;
+		return (evidence.slow > limit && evidence.slow - allowance(server, workClass, Suspicion.Kind.SLOW) > limit)
+				|| (evidence.failing > limit
+						&& evidence.failing - allowance(server, workClass, Suspicion.Kind.FAILING) > limit);
+	}
+
+	private void scoreRunning(long now, ServerEvidence server) {
+		for (ClassEvidence evidence : server.classes) {
+			evidence.running = 0;
+		}
+		if (server.running.isEmpty()) {
+			return;
+		}
+		server.running.removeIf((request) -> request.reported() < now - REPORT_LIFETIME);
+		if (!server.slownessCounts) {
+			return;
+		}
+		// Only as many requests as there are slots can run; the others wait behind them.
+		server.running.sort(Comparator.comparingLong(ServerEvidence.Running::start));
+		int counted = Math.min(server.slots(), server.running.size());
+		for (int held = 0; held < counted; held++) {
+			ServerEvidence.Running request = server.running.get(held);
+			PeerDurations durations = this.peers[request.workClass().ordinal()];
+			ClassEvidence evidence = server.of(request.workClass());
+			long elapsed = request.reported() - server.serviceStart(request.start(), held);
+			double rank = durations.rank(evidence, elapsed);
+			if (rank >= 0) {
+				evidence.running += Scores.running(rank, Math.max(1, elapsed / durations.tail()));
+			}
+		}
+		for (ClassEvidence evidence : server.classes) {
+			evidence.running = Math.min(evidence.running, RUNNING_SHARE * THRESHOLD);
+		}
+	}
+
+	private double sum(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind) {
+		ClassEvidence evidence = server.of(workClass);
+		double sum = switch (kind) {
+			case SLOW -> evidence.slow + evidence.running;
+			case FAILING -> evidence.failing;
+			case UNREACHABLE -> server.paths.unreachable() + evidence.running;
+		};
+		return (server.endpointUnhealthy && sum > 0) ? sum + ENDPOINT_SCORE : sum;
+	}
+
+	/**
+	 * Returns what a sum must exceed the threshold by: a multiple of the mean of the
+	 * peers' sums without the highest quarter, which may be unhealthy, too.
+	 * @param server the server
+	 * @param workClass the class of work
+	 * @param kind the kind of evidence
+	 * @return the allowance
+	 */
+	private double allowance(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind) {
+		double[] sums = new double[this.servers.size()];
+		int count = 0;
+		for (ServerEvidence peer : this.servers.values()) {
+			if (peer != server && peer.reference) {
+				sums[count++] = sum(peer, workClass, kind);
+			}
+		}
+		int kept = count - (count + 3) / 4;
+		if (kept == 0) {
+			return 0;
+		}
+		Arrays.sort(sums, 0, count);
+		return this.caution[workClass.ordinal()] + ALLOWANCE * Arrays.stream(sums, 0, kept).sum() / kept;
+	}
+
+	private Suspicion describe(ServerEvidence server, WorkClass workClass, Suspicion.Kind kind, double strength,
+			double allowance) {
+		PeerDurations durations = this.peers[workClass.ordinal()];
+		ClassEvidence evidence = server.of(workClass);
+		double percent = 100;
+		return switch (kind) {
+			case SLOW ->
+				new Suspicion(kind, workClass, strength, allowance, evidence.typicalDuration(), durations.median());
+			case FAILING -> new Suspicion(kind, workClass, strength, allowance, percent * evidence.recentErrors(),
+					percent * durations.errorShare(evidence));
+			case UNREACHABLE -> new Suspicion(kind, workClass, strength, allowance,
+					percent * server.paths.failingObservers() / Math.max(1, server.paths.knownObservers()), 0);
+		};
+	}
+
+	private record Result(long end, Observation observation) {
+
+		private long start() {
+			return this.end - this.observation.duration();
+		}
+
+	}
+
+}
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -201,6 +201,8 @@
 			this.started = true;
 			this.startedAt = now;
 			this.lastHeard = now;
+			this.nextJoin = now;
+			this.nextGossip = now;
 			this.nextReconnect = now + this.random.nextLong(this.settings.reconnectInterval());
 			this.syncDelay = this.settings.probeInterval();
 			this.nextSync = now + this.syncDelay;
