Test the proven-connection window at its boundary with a stopped clock

The test had been moved from 900 ms to 0 ms of idle time because real time passed during the exchange. The clock now stands still, and the test covers 1000 ms and 1001 ms, the two sides of the bound.

--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/AttemptTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/AttemptTests.java
@@ -93,11 +93,12 @@
 	// Guards against non-idempotent work on a connection that may have gone silent, and
 	// against idle connections that are kept for ever.
 	@ParameterizedTest
-	@CsvSource({ "ANY, 0, 1", "PROVEN, 0, 1", "ANY, 5000, 1", "PROVEN, 5000, 2" })
+	@CsvSource({ "ANY, 1000, 1", "PROVEN, 1000, 1", "ANY, 1001, 1", "PROVEN, 1001, 2" })
 	void provenConnectionsAreRecent(ConnectionRequirement requirement, long idle, int connections) throws Exception {
 		try (ScriptedServer backend = ScriptedServer.answering(OK);
 				TestProxy proxy = new TestProxy(backend.description(4));
 				RawConnection caller = proxy.connect()) {
+			proxy.freezeTime();
 			proxy.setRequirement(requirement);
 			caller.write(GET);
 			caller.readMessage();
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
@@ -66,6 +66,11 @@
 		this.clock.shift.addAndGet(milliseconds);
 	}
 
+	/** Stops the proxy's clock, so that only {@link #passTime(long)} moves it. */
+	void freezeTime() {
+		this.clock.frozen = this.clock.system.milliseconds();
+	}
+
 	ProxyServer server() {
 		return this.server;
 	}
@@ -152,13 +157,18 @@
 	/** System clock that can be moved forward. */
 	private static final class ShiftedClock implements MillisecondClock {
 
+		private static final long RUNNING = -1;
+
 		private final MillisecondClock system = MillisecondClock.system();
 
 		private final AtomicLong shift = new AtomicLong();
 
+		private volatile long frozen = RUNNING;
+
 		@Override
 		public long milliseconds() {
-			return this.system.milliseconds() + this.shift.get();
+			long now = this.frozen;
+			return ((now == RUNNING) ? this.system.milliseconds() : now) + this.shift.get();
 		}
 
 		@Override
