--- /dev/null
+++ b/wigeonmast-dispatch/src/test/java/org/wigeonmast/dispatch/SlotAllocatorProperties.java
@@ -0,0 +1,142 @@
+package org.wigeonmast.dispatch;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.CallerId;
+import org.wigeonmast.dispatch.DispatchMessage.AttemptOutcome;
+import org.wigeonmast.dispatch.DispatchMessage.SlotGrant;
+import org.wigeonmast.dispatch.DispatchMessage.SlotRelease;
+import org.wigeonmast.dispatch.DispatchMessage.SlotRequest;
+import org.wigeonmast.dispatch.internal.SlotServer;
+import org.wigeonmast.manifest.WorkClass;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Checks the sharing of slots.
+ */
+class SlotAllocatorProperties {
+
+	private static final int SLOTS = 2;
+
+	private static final int SERVERS = 4;
+
+	private final Map<Long, BackendServerId> held = new LinkedHashMap<>();
+
+	private final Map<Long, String> callers = new HashMap<>();
+
+	private final Map<String, Integer> served = new HashMap<>();
+
+	private SlotAllocator allocator = allocator();
+
+	private long ticket;
+
+	/**
+	 * Guards against a server with more grants than slots and the one grant ahead, under
+	 * repeated and lost messages, and against slots that are never free again.
+	 */
+	@Property(tries = 200, seed = "500")
+	void grantsStayWithinSlots(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+		Random random = new Random(seed);
+		long now = 0;
+		for (int i = 0; i < 500; i++) {
+			now += random.nextInt(10);
+			if (random.nextInt(3) > 0) {
+				WorkClass workClass = (random.nextInt(5) == 0) ? WorkClass.LONG : WorkClass.SHORT;
+				// One in five requests arrives again under the same ticket.
+				request(now, (random.nextInt(5) == 0) ? this.ticket : ++this.ticket, workClass, "caller");
+			}
+			else if (!this.held.isEmpty()) {
+				release(now, random);
+			}
+			carryOut(this.allocator.tick(now));
+			for (int server = 0; server < SERVERS; server++) {
+				BackendServerId id = DispatchFixtures.serverId(DispatchFixtures.ADDIS, server);
+				long grants = this.held.values().stream().filter(id::equals).count();
+				assertThat(grants).isAtMost(SLOTS + SlotServer.GRANTS_AHEAD);
+			}
+		}
+		this.held.clear();
+		carryOut(this.allocator.tick(now + 20_000));
+		carryOut(this.allocator.tick(now + 40_000));
+		assertThat(this.allocator.idle()).isTrue();
+	}
+
+	/** Guards against long work that never gets a slot while short work queues. */
+	@Test
+	void longWorkIsNotStarved() {
+		Random random = new Random(1);
+		for (int now = 0; now < 4000; now++) {
+			request(now, ++this.ticket, WorkClass.SHORT, "short");
+			if (now % 400 == 0) {
+				request(now, ++this.ticket, WorkClass.LONG, "long");
+			}
+			release(now, random);
+			carryOut(this.allocator.tick(now));
+		}
+		assertThat(this.served.get("long")).isAtLeast(9);
+	}
+
+	/** Guards against one caller's backlog that shuts others out. */
+	@Test
+	void callersAreServedInTurn() {
+		Random random = new Random(1);
+		for (int now = 0; now < 4000; now++) {
+			request(now, ++this.ticket, WorkClass.SHORT, "heavy");
+			if (now % 20 == 0) {
+				request(now, ++this.ticket, WorkClass.SHORT, "light");
+			}
+			if (now % 5 == 0) {
+				release(now, random);
+			}
+			carryOut(this.allocator.tick(now));
+		}
+		// The light caller asks for 200 of the 800 slots that become free.
+		assertThat(this.served.get("light")).isAtLeast(195);
+		assertThat(this.served.get("heavy")).isAtLeast(550);
+	}
+
+	private static SlotAllocator allocator() {
+		return new SlotAllocator(0, DispatchFixtures.service(SERVERS, SLOTS, DispatchFixtures.ADDIS),
+				DispatchFixtures.ADDIS, QueueOrder.FIRST_IN_FIRST_OUT);
+	}
+
+	private void request(long now, long number, WorkClass workClass, String caller) {
+		this.callers.put(number, caller);
+		handle(now, new SlotRequest(number, DispatchFixtures.BOARD, workClass, new CallerId(caller), 1000, true, false,
+				List.of()));
+	}
+
+	private void release(long now, Random random) {
+		if (this.held.isEmpty()) {
+			return;
+		}
+		Long number = List.copyOf(this.held.keySet()).get(random.nextInt(this.held.size()));
+		BackendServerId server = this.held.remove(number);
+		handle(now, new SlotRelease(DispatchFixtures.BOARD, number,
+				new AttemptOutcome(server, WorkClass.SHORT, AttemptResult.SUCCEEDED, 20)));
+	}
+
+	private void handle(long now, DispatchMessage message) {
+		carryOut(this.allocator.handle(now, new AllocatorInput.Received(DispatchFixtures.daemon(1), message)));
+	}
+
+	private void carryOut(List<DispatchEffect> effects) {
+		for (DispatchEffect effect : effects) {
+			if (effect instanceof DispatchEffect.Send send && send.message() instanceof SlotGrant grant
+					&& this.held.put(grant.ticket(), grant.server()) == null) {
+				this.served.merge(this.callers.getOrDefault(grant.ticket(), "none"), 1, Integer::sum);
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-limit/src/main/java/org/wigeonmast/limit/LimitGate.java
@@ -0,0 +1,250 @@
+package org.wigeonmast.limit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.AuditEntry;
+import org.wigeonmast.core.AuditKind;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.DaemonId;
+import org.wigeonmast.core.Step;
+
+/**
+ * Holds the limits of callers and services over the fleet, on the side of each daemon and
+ * as the owner of some limits.
+ * <p>
+ * Thread safety: none; the control thread owns it. Invariants: a daemon admits at the
+ * rate of the share that it leased or, without one, at an equal part of the limit; a
+ * request is counted at no subject if any subject refuses it.
+ * <p>
+ * Wiring: {@link LimitInput.Check} comes before the request is passed to dispatch, with
+ * the caller's and the service's limits from the manifest, without those that are 0; the
+ * first effect is the answer, which is given at once. A refusal is answered as not run.
+ */
+public final class LimitGate implements Component<LimitInput, LimitEffect> {
+
+	private static final long RENEWAL = 200;
+
+	private static final long FORGET_AFTER = 10_000;
+
+	private static final long REPORT_INTERVAL = 1000;
+
+	private final Map<LimitSubject, Bucket> buckets = new LinkedHashMap<>();
+
+	private final Map<LimitSubject, ShareOwner> owned = new HashMap<>();
+
+	private final DaemonId self;
+
+	private List<DaemonId> live;
+
+	private long nextRenewal = NO_TIMER;
+
+	/**
+	 * Creates a gate of a daemon that knows no others.
+	 * @param self this daemon
+	 */
+	public LimitGate(DaemonId self) {
+		this.self = self;
+		this.live = List.of(self);
+	}
+
+	@Override
+	public List<LimitEffect> handle(long now, LimitInput input) {
+		List<LimitEffect> effects = new ArrayList<>();
+		switch (input) {
+			case LimitInput.Check check -> check(now, check, effects);
+			case LimitInput.Received received -> received(now, received.sender(), received.message(), effects);
+			case LimitInput.MembersChanged changed -> {
+				this.live = changed.live().isEmpty() ? List.of(this.self) : changed.live();
+				this.owned.keySet().removeIf((subject) -> !this.self.equals(owner(subject)));
+			}
+		}
+		return effects;
+	}
+
+	@Override
+	public List<LimitEffect> tick(long now) {
+		if (now < this.nextRenewal) {
+			return List.of();
+		}
+		List<LimitEffect> effects = new ArrayList<>();
+		this.buckets.values().removeIf((bucket) -> now - bucket.checkedAt > FORGET_AFTER);
+		this.owned.values().removeIf((owner) -> owner.idle(now));
+		this.buckets.forEach((subject, bucket) -> {
+			double demand = bucket.demand(now);
+			effects.add(
+					new LimitEffect.Send(owner(subject), new LimitMessage.ShareRequest(subject, demand, bucket.limit)));
+			if (bucket.expired(now)) {
+				effects.add(new LimitEffect.Logged(LimitEvent.SHARE_EXPIRED, List.of(subject, owner(subject))));
+			}
+		});
+		this.nextRenewal = (this.buckets.isEmpty() && this.owned.isEmpty()) ? NO_TIMER : now + RENEWAL;
+		return effects;
+	}
+
+	@Override
+	public long nextTick() {
+		return this.nextRenewal;
+	}
+
+	private void check(long now, LimitInput.Check check, List<LimitEffect> effects) {
+		LimitSubject refusing = null;
+		long retryAfter = 0;
+		List<Bucket> passed = new ArrayList<>();
+		for (Map.Entry<LimitSubject, Long> entry : check.limits().entrySet()) {
+			Bucket bucket = this.buckets.computeIfAbsent(entry.getKey(), (subject) -> new Bucket(now));
+			bucket.check(now, entry.getValue(), this.live.size());
+			if (bucket.tokens < 1) {
+				refusing = entry.getKey();
+				retryAfter = Math.max(retryAfter, bucket.untilToken());
+			}
+			passed.add(bucket);
+		}
+		this.nextRenewal = Math.min(this.nextRenewal, now + RENEWAL);
+		if (refusing == null) {
+			passed.forEach((bucket) -> bucket.tokens--);
+			effects.add(new LimitEffect.Admitted(check.request()));
+			return;
+		}
+		effects.add(new LimitEffect.Refused(check.request(), refusing, retryAfter));
+		report(now, refusing, this.buckets.get(refusing), effects);
+	}
+
+	// An exceeded limit refuses many requests a second, so they are reported together.
+	private void report(long now, LimitSubject subject, @Nullable Bucket bucket, List<LimitEffect> effects) {
+		if (bucket == null) {
+			return;
+		}
+		bucket.refused++;
+		if (now - bucket.reportedAt >= REPORT_INTERVAL) {
+			Map<String, String> evidence = new TreeMap<>();
+			evidence.put("requests", Long.toString(bucket.refused));
+			evidence.put("share", Double.toString(bucket.rate));
+			effects.add(new LimitEffect.Audit(new AuditEntry(now, AuditKind.REFUSED, subject.toString(), Step.LIMIT,
+					this.self.toString(), evidence)));
+			effects.add(new LimitEffect.Logged(LimitEvent.LIMIT_REACHED, List.of(bucket.refused, subject)));
+			bucket.refused = 0;
+			bucket.reportedAt = now;
+		}
+	}
+
+	private void received(long now, DaemonId sender, LimitMessage message, List<LimitEffect> effects) {
+		switch (message) {
+			case LimitMessage.ShareRequest request -> {
+				ShareOwner owner = this.owned.computeIfAbsent(request.subject(), (subject) -> new ShareOwner(now));
+				double rate = owner.share(now, sender, request.demand(), request.limit(), this.live.size());
+				effects.add(new LimitEffect.Send(sender,
+						new LimitMessage.ShareGrant(request.subject(), rate, ShareOwner.LEASE)));
+				this.nextRenewal = Math.min(this.nextRenewal, now + RENEWAL);
+			}
+			case LimitMessage.ShareGrant grant -> {
+				Bucket bucket = this.buckets.get(grant.subject());
+				if (bucket != null && sender.equals(owner(grant.subject()))) {
+					bucket.grant(now, grant.rate(), grant.lease());
+				}
+			}
+		}
+	}
+
+	// Rendezvous hashing: when a daemon goes, only its own subjects change their owner.
+	private DaemonId owner(LimitSubject subject) {
+		return this.live.stream()
+			.max(Comparator.comparingInt((DaemonId daemon) -> score(daemon, subject))
+				.thenComparing(Comparator.naturalOrder()))
+			.orElse(this.self);
+	}
+
+	private static int score(DaemonId daemon, LimitSubject subject) {
+		int hash = (daemon.name() + "/" + subject).hashCode() * 0x9E3779B1;
+		return hash ^ (hash >>> 15);
+	}
+
+	/** The share of one limit and the demand on it. */
+	private static final class Bucket {
+
+		/** Time in seconds for which unused tokens are kept. */
+		private static final double BURST = 1;
+
+		private static final double SMOOTHING = 0.3;
+
+		private double tokens;
+
+		private double rate;
+
+		private long limit;
+
+		private double demand;
+
+		private long checks;
+
+		private long refilledAt;
+
+		private long checkedAt;
+
+		private long demandAt;
+
+		private long leaseEnd;
+
+		private boolean leased;
+
+		private long refused;
+
+		private long reportedAt;
+
+		private Bucket(long now) {
+			this.refilledAt = now;
+			this.demandAt = now;
+			this.reportedAt = now - REPORT_INTERVAL;
+			this.tokens = 1;
+		}
+
+		private void check(long now, long newLimit, int daemons) {
+			this.limit = newLimit;
+			if (!this.leased || now >= this.leaseEnd) {
+				this.rate = this.limit / (double) daemons;
+			}
+			refill(now);
+			this.checks++;
+			this.checkedAt = now;
+		}
+
+		private void grant(long now, double granted, long lease) {
+			refill(now);
+			this.rate = granted;
+			this.leased = true;
+			this.leaseEnd = now + lease;
+		}
+
+		private void refill(long now) {
+			double added = this.rate * (now - this.refilledAt) / 1000;
+			this.tokens = Math.min(Math.max(1, this.rate * BURST), this.tokens + added);
+			this.refilledAt = now;
+		}
+
+		private double demand(long now) {
+			double seconds = Math.max(1, now - this.demandAt) / 1000.0;
+			this.demand += SMOOTHING * (this.checks / seconds - this.demand);
+			this.checks = 0;
+			this.demandAt = now;
+			return this.demand;
+		}
+
+		private long untilToken() {
+			return Math.max(1, Math.round(1000 * (1 - this.tokens) / Math.max(0.001, this.rate)));
+		}
+
+		private boolean expired(long now) {
+			boolean result = this.leased && now >= this.leaseEnd;
+			this.leased = this.leased && !result;
+			return result;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-limit/src/main/java/org/wigeonmast/limit/LimitSubject.java
@@ -0,0 +1,29 @@
+package org.wigeonmast.limit;
+
+/**
+ * What a limit applies to.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param kind the kind
+ * @param name the caller's or the service's name
+ */
+public record LimitSubject(Kind kind, String name) {
+
+	@Override
+	public String toString() {
+		return "limit/" + this.kind + "/" + this.name;
+	}
+
+	/** Kind of subject. */
+	public enum Kind {
+
+		/** A caller. */
+		CALLER,
+
+		/** A service. */
+		SERVICE
+
+	}
+
+}
