--- a/wigeonmast-health/src/test/java/org/wigeonmast/health/HealthMonitorTests.java
+++ b/wigeonmast-health/src/test/java/org/wigeonmast/health/HealthMonitorTests.java
@@ -40,6 +40,8 @@
 
 	private boolean keepers;
 
+	private boolean blocked;
+
 	@BeforeEach
 	void warmUp() {
 		run(10_000, this::healthy, (server) -> Observation.Result.SUCCEEDED);
@@ -101,6 +103,37 @@
 		assertThat(effects.stream().anyMatch((effect) -> effect instanceof HealthEffect.Judged)).isTrue();
 	}
 
+	/**
+	 * Guards against counting requests that wait behind one long request as independent
+	 * slow ones, which ejected healthy servers.
+	 */
+	@Test
+	void requestsThatWaitBehindOthersAreNoEvidence() {
+		this.blocked = true;
+		run(20_000, this::healthy, (server) -> Observation.Result.SUCCEEDED);
+		assertThat(avoided()).isEmpty();
+	}
+
+	/**
+	 * Lets long work hold one slot of server 3 and a short request the other for 600 ms
+	 * of every 2 s, while ten requests wait.
+	 */
+	private void block() {
+		long phase = this.now % 2_000;
+		BackendServerId server = new BackendServerId("server-3");
+		List<HealthInput.RunningRequest> running = (phase < 1_500)
+				? List.of(new HealthInput.RunningRequest(server, WorkClass.LONG, 500 + phase)) : List.of();
+		this.monitor.handle(this.now, new HealthInput.InFlight(VOTERS.getFirst(), running));
+		if (phase == 850) {
+			for (int waiting = 0; waiting <= 10; waiting++) {
+				long end = 600 + 20 * waiting;
+				Observation observation = new Observation(SERVICE, server, WorkClass.SHORT, VOTERS.getLast(),
+						Observation.Result.SUCCEEDED, end - 50 * waiting);
+				this.monitor.handle(this.now, new HealthInput.Observed(observation, phase - end));
+			}
+		}
+	}
+
 	private ServerHealth.State state(int server) {
 		return this.monitor.servers(this.now).get(server).state();
 	}
@@ -129,7 +162,12 @@
 				DaemonId daemon = new DaemonId("daemon-" + this.random.nextInt(DAEMONS), 1);
 				Observation observation = new Observation(SERVICE, new BackendServerId("server-" + server),
 						WorkClass.SHORT, daemon, result.apply(server), duration.applyAsLong(server));
-				this.monitor.handle(this.now, new HealthInput.Observed(observation, 0));
+				if (!this.blocked || server != 3) {
+					this.monitor.handle(this.now, new HealthInput.Observed(observation, 0));
+				}
+			}
+			if (this.blocked) {
+				block();
 			}
 			if (this.now >= this.monitor.nextTick()) {
 				perform(this.monitor.tick(this.now));
