Split packed callers of a manifest built from records

Cause: with more than 65,535 callers in one block the packed index overflowed and lookups could give another caller's limit. Only manifests built from records were affected; a part of 1 MB has fewer callers.

--- a/wigeonmast-cli/src/test/java/org/wigeonmast/cli/standin/StandInPlatformTests.java
+++ b/wigeonmast-cli/src/test/java/org/wigeonmast/cli/standin/StandInPlatformTests.java
@@ -1,5 +1,8 @@
 package org.wigeonmast.cli.standin;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -86,4 +89,23 @@
 		Truth.assertThat(((StoreReply.Document) await(this.client.readIndex())).bytes()).isEqualTo(SECOND.index());
 	}
 
+	/** Guards against a document that fills the memory of a daemon. */
+	@Test
+	void documentThatIsTooLargeFails() throws Exception {
+		this.platform.publish(new PublishedManifest(new byte[1_000_001], Map.of()));
+		Truth.assertThat(await(this.client.readIndex())).isInstanceOf(StoreReply.Failed.class);
+	}
+
+	/** Guards against calls that never end when the store accepts and stays silent. */
+	@Test
+	void silentStoreFailsCallsAndWatches() throws Exception {
+		try (ServerSocket silent = new ServerSocket(0, 10, InetAddress.ofLiteral("127.0.0.1"));
+				ConfigurationStoreClient impatient = new ConfigurationStoreClient(
+						URI.create("http://127.0.0.1:" + silent.getLocalPort()), 200, 200)) {
+			CompletableFuture<StoreReply> watch = impatient.watchIndex("\"tag\"");
+			Truth.assertThat(await(impatient.readHosts())).isInstanceOf(StoreReply.Failed.class);
+			Truth.assertThat(await(watch)).isInstanceOf(StoreReply.Failed.class);
+		}
+	}
+
 }
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/JsonManifestChecker.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/JsonManifestChecker.java
@@ -14,9 +14,9 @@
  * Reads and checks manifests in JSON, whose format {@code docs/manifest.md} describes.
  * <p>
  * Thread safety: usable from any thread. Invariants: a result depends on the arguments
- * only; memory in use is bounded for every input. The parts of the manifest last checked
- * without errors are kept, so that a change of one part is checked without reading all
- * others again.
+ * only, where the bytes of a part are known by its hash; memory in use is bounded for
+ * every input. The parts of the manifest last checked without errors are kept, so that a
+ * change of one part is checked without reading all others again.
  */
 public final class JsonManifestChecker implements ManifestChecker {
 
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/CallerTable.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/CallerTable.java
@@ -13,6 +13,11 @@
  */
 public final class CallerTable {
 
+	/**
+	 * Greatest number of limits in one part; a document of 1 MB has at most half as many.
+	 */
+	static final int GREATEST_PART = 65_535;
+
 	private static final int INDEX_BITS = 16;
 
 	private static final int INDEX_MASK = (1 << INDEX_BITS) - 1;
@@ -25,7 +30,7 @@
 
 	/**
 	 * Creates a table without entries.
-	 * @param parts the limits by part, at most 65,535 in each
+	 * @param parts the limits by part, at most {@link #GREATEST_PART} in each
 	 */
 	CallerTable(List<CallerLimits> parts) {
 		this.parts = List.copyOf(parts);
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/ManifestContent.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/internal/ManifestContent.java
@@ -1,5 +1,6 @@
 package org.wigeonmast.manifest.internal;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -39,14 +40,25 @@
 		services.forEach((service) -> byName.put(service.name(), service));
 		RouteTable routeTable = new RouteTable(routes.size());
 		routes.forEach(routeTable::insert);
-		CallerLimits limits = new CallerLimits();
-		callers.forEach((limit) -> limits.add(limit.caller().value(), (int) limit.requestsPerSecond()));
-		CallerTable callerTable = new CallerTable(List.of(limits));
-		for (int i = 0; i < limits.count(); i++) {
-			callerTable.insert(0, i);
-		}
 		return new ManifestContent(Collections.unmodifiableMap(new LinkedHashMap<>(daemons)),
-				Collections.unmodifiableMap(byName), routeTable, callerTable);
+				Collections.unmodifiableMap(byName), routeTable, callerTable(callers));
+	}
+
+	private static CallerTable callerTable(Collection<CallerLimit> callers) {
+		List<CallerLimits> blocks = new ArrayList<>();
+		for (CallerLimit limit : callers) {
+			if (blocks.isEmpty() || blocks.getLast().count() == CallerTable.GREATEST_PART) {
+				blocks.add(new CallerLimits());
+			}
+			blocks.getLast().add(limit.caller().value(), Math.clamp(limit.requestsPerSecond(), 0, Integer.MAX_VALUE));
+		}
+		CallerTable table = new CallerTable(blocks);
+		for (int i = 0; i < blocks.size(); i++) {
+			for (int j = 0; j < blocks.get(i).count(); j++) {
+				table.insert(i, j);
+			}
+		}
+		return table;
 	}
 
 }
--- a/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/JsonManifestCheckerTests.java
+++ b/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/JsonManifestCheckerTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
 import io.vavr.control.Either;
@@ -75,4 +76,31 @@
 		Truth.assertThat(path(manifest, "GET", "/")).isNull();
 	}
 
+	/** Guards against an index of packed callers that overflows its bits. */
+	@Test
+	void manyCallersAreFound() {
+		List<CallerLimit> limits = IntStream.rangeClosed(1, 140_000)
+			.mapToObj((number) -> new CallerLimit(new CallerId("caller-" + number), number))
+			.toList();
+		Manifest manifest = new InMemoryManifest(1, "", List.of(), List.of(), limits, Map.of());
+		for (int number : new int[] { 1, 65_535, 65_536, 65_537, 131_070, 131_071, 140_000 }) {
+			Truth.assertThat(manifest.callerLimit(new CallerId("caller-" + number))).isEqualTo(number);
+		}
+		Truth.assertThat(manifest.callerLimit(new CallerId("caller-0"))).isEqualTo(0);
+	}
+
+	/** Guards against tables of the previous manifest that stay after a change. */
+	@Test
+	void changedPartsReplaceThePreviousOnes() {
+		Truth.assertThat(check(PART).get().callerLimit(new CallerId("kitchen-7"))).isEqualTo(50);
+		Manifest changed = check(PART.replace("\"requestsPerSecond\": 50", "\"requestsPerSecond\": 60")
+			.replace("\"/rota/print\"", "\"/rota/paper\"")
+			.replace("\"slots\": 2", "\"slots\": 3")).get();
+		Truth.assertThat(changed.callerLimit(new CallerId("kitchen-7"))).isEqualTo(60);
+		Truth.assertThat(path(changed, "POST", "/rota/print")).isEqualTo("/rota");
+		Truth.assertThat(changed.service(new ServiceName("rota-board")).servers().getFirst().slots()).isEqualTo(3);
+		Truth.assertThat(check(PART.replace("\"floor\": 1", "\"floor\": 3")).isLeft()).isTrue();
+		Truth.assertThat(check(PART).get().callerLimit(new CallerId("kitchen-7"))).isEqualTo(50);
+	}
+
 }
