--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonCore.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonCore.java
@@ -16,6 +16,7 @@
 import org.wigeonmast.core.DaemonId;
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.RequestOutcome;
 import org.wigeonmast.core.ServiceName;
 import org.wigeonmast.core.Step;
 import org.wigeonmast.daemon.DaemonEvent;
@@ -60,6 +61,8 @@
 
 	private final DispatchShell dispatch;
 
+	private final LimitShell limits;
+
 	private final OperatorView operators;
 
 	private volatile Readiness readiness = new Readiness(false, "starting");
@@ -86,6 +89,7 @@
 		this.health = new HealthShell(control, self, settings.failureDomain(), this.messenger, this.trail::add, this);
 		this.dispatch = new DispatchShell(control, settings.failureDomain().region(), self, this.messenger, this.health,
 				random, ports.exchanges(), this.trail::add);
+		this.limits = new LimitShell(control, self, this.messenger, this.trail::add);
 		this.operators = new OperatorView(control, this.fleet.self(), this.fleet, this.health, this.dispatch,
 				this.trail, () -> this.readiness.reason());
 	}
@@ -93,6 +97,7 @@
 	/** Starts the components; to be called on the control loop. */
 	public void start() {
 		this.messenger.start();
+		this.limits.start();
 		this.dispatch.start();
 		this.health.start();
 		this.fleet.start();
@@ -115,6 +120,7 @@
 		this.fleet.close();
 		this.health.stop();
 		this.dispatch.stop();
+		this.limits.stop();
 	}
 
 	/**
@@ -133,7 +139,7 @@
 	 * @param event the event
 	 */
 	public void requestEvent(RequestEvent event) {
-		this.control.execute(() -> this.dispatch.requestEvent(event));
+		this.control.execute(() -> handle(event));
 	}
 
 	/**
@@ -195,6 +201,7 @@
 		List<Member> live = this.fleet.live();
 		this.health.membersChanged(live, this.fleet.ownership());
 		this.dispatch.membersChanged(live, this.fleet.ownership());
+		this.limits.membersChanged(live);
 	}
 
 	@Override
@@ -258,6 +265,18 @@
 		}
 	}
 
+	private void handle(RequestEvent event) {
+		Manifest manifest = this.dispatch.routing();
+		if (manifest != null && event instanceof RequestEvent.Accepted accepted) {
+			RequestOutcome.NotRun refusal = this.limits.check(manifest, accepted.request());
+			if (refusal != null) {
+				this.ports.exchanges().accept(new ExchangeCommand.Refuse(accepted.request().id(), refusal));
+				return;
+			}
+		}
+		this.dispatch.requestEvent(event);
+	}
+
 	private @Nullable HostAddress address(BackendServerId id) {
 		Manifest manifest = this.fleet.manifest();
 		if (manifest == null) {
