--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/FleetSimulation.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/FleetSimulation.java
@@ -81,7 +81,7 @@
 		this(scenario, policy, seed, UnaryOperator.identity());
 	}
 
-	/** Creates a fleet whose coordinators are replaced, for a test of the ledger. */
+	// A test of the ledger replaces the coordinators by broken ones.
 	FleetSimulation(Scenario scenario, Policy policy, long seed,
 			UnaryOperator<Component<CoordinatorInput, DispatchEffect>> replacement) {
 		this.scenario = scenario;
--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/RunResult.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/RunResult.java
@@ -80,10 +80,8 @@
 		}
 	}
 
-	/**
-	 * Returns the least share of the healthy capacity that was spent on answers within
-	 * the deadline, over all windows of 5 s inside the surge.
-	 */
+	// The least share of the healthy capacity that was spent on answers within the
+	// deadline, over all windows of 5 s inside the surge.
 	double leastGoodput() {
 		double least = Double.MAX_VALUE;
 		int first = (int) ((Scenario.SURGE_START + Scenario.SURGE_RAMP + WORK_WINDOW - 1) / WORK_WINDOW);
--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/Workload.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/Workload.java
@@ -36,7 +36,7 @@
 		this.random = new Random(seed);
 	}
 
-	/** Returns the next request; its arrival is after the scenario's end at the end. */
+	// At the end it returns a request whose arrival is after the scenario's end.
 	SimulatedRequest next() {
 		double shortRate = this.scenario.loadAt(this.time) * this.scenario.totalSlots() / Scenario.SHORT_MEAN;
 		double longRate = this.scenario.longLoad() * this.scenario.totalSlots() / Scenario.LONG_MEAN;
