--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/FleetSimulation.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/FleetSimulation.java
@@ -207,9 +207,7 @@
 		return backend;
 	}
 
-	/**
-	 * Gives every policy the same idealized judgement: gray servers are the last choice.
-	 */
+	// Every policy gets the same idealized judgement: gray servers are the last choice.
 	private List<ServerHealth> health() {
 		List<ServerHealth> health = new ArrayList<>();
 		for (Region region : regions()) {
