--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/FleetSimulation.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/policy/FleetSimulation.java
@@ -81,7 +81,7 @@
 		this(scenario, policy, seed, UnaryOperator.identity());
 	}
 
-	/** Creates a fleet whose coordinators are replaced, for a test of the ledger. */
+	// A test of the ledger replaces the coordinators by broken ones.
 	FleetSimulation(Scenario scenario, Policy policy, long seed,
 			UnaryOperator<Component<CoordinatorInput, DispatchEffect>> replacement) {
 		this.scenario = scenario;
@@ -207,9 +207,7 @@
 		return backend;
 	}
 
-	/**
-	 * Gives every policy the same idealized judgement: gray servers are the last choice.
-	 */
+	// Every policy gets the same idealized judgement: gray servers are the last choice.
 	private List<ServerHealth> health() {
 		List<ServerHealth> health = new ArrayList<>();
 		for (Region region : regions()) {
