--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/FailureDetector.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/FailureDetector.java
@@ -44,7 +44,7 @@
 
 	private long nextNumber;
 
-	private long quietUntil;
+	private long quietUntil = Long.MIN_VALUE;
 
 	FailureDetector(MembershipSettings settings, RandomGenerator random, MemberTable table, Actions actions) {
 		this.settings = settings;
@@ -70,7 +70,7 @@
 	}
 
 	void endQuiet() {
-		this.quietUntil = 0;
+		this.quietUntil = Long.MIN_VALUE;
 	}
 
 	long nextTick() {
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -80,7 +80,7 @@
 	/** Mean time until the next sync, short after the start and doubled each time. */
 	private long syncDelay;
 
-	private long nextReturnSync;
+	private long nextReturnSync = Long.MIN_VALUE;
 
 	/**
 	 * Creates a member list that knows only this daemon.
