--- a/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/JsonManifestCheckerTests.java
+++ b/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/JsonManifestCheckerTests.java
@@ -1,6 +1,8 @@
 package org.wigeonmast.manifest;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -38,6 +40,18 @@
 
 	private final JsonManifestChecker checker = new JsonManifestChecker();
 
+	static Either<List<String>, Manifest> check(JsonManifestChecker checker, String... parts) {
+		Map<String, byte[]> bytes = new HashMap<>();
+		List<ManifestPart> entries = new ArrayList<>();
+		for (String part : parts) {
+			byte[] document = part.getBytes(StandardCharsets.UTF_8);
+			String hash = Hashes.sha256(document);
+			bytes.put(hash, document);
+			entries.add(new ManifestPart("part-" + entries.size(), hash, document.length));
+		}
+		return checker.check(new ManifestIndex(1, "", entries), bytes);
+	}
+
 	Either<List<String>, Manifest> check(String part) {
 		byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
 		String hash = Hashes.sha256(bytes);
@@ -103,4 +117,32 @@
 		Truth.assertThat(check(PART).get().callerLimit(new CallerId("kitchen-7"))).isEqualTo(50);
 	}
 
+	/**
+	 * Guards against checks of a kind that are left out although a part on which they
+	 * depend has changed.
+	 */
+	@Test
+	void changedPartIsCheckedAgainstUnchangedOnes() {
+		String domains = "{\"domains\": [{\"name\": \"addis/a\", \"daemons\": 9}]}";
+		String service = "{\"services\": [{\"name\": \"rota\", \"floor\": 0, \"servers\": [{\"id\": \"rb-1\", \"address\": "
+				+ "\"10.0.0.1:80\", \"domain\": \"addis/a\", \"slots\": 2, \"connections\": 9}]}]}";
+		String routes = "{\"routes\": [{\"path\": \"/rota\", \"service\": \"rota\", \"class\": \"long\", "
+				+ "\"idempotent\": true, \"timeoutMilliseconds\": 1}]}";
+		String[][] changes = { { domains, service, routes },
+				{ domains, service.replace("\"rota\"", "\"desk\""), routes },
+				{ domains.replace("addis/a", "addis/b"), service, routes }, { domains, service, routes, service },
+				{ domains, service, routes, routes }, { domains, routes },
+				{ domains, service.replace("\"floor\"", "\"longShare\": 0, \"floor\""), routes },
+				{ service, routes, domains }, { domains, service }, { domains, service, routes, "{}" } };
+		for (String[] change : changes) {
+			check(this.checker, changes[0]);
+			Either<List<String>, Manifest> fresh = check(new JsonManifestChecker(), change);
+			Either<List<String>, Manifest> later = check(this.checker, change);
+			Truth.assertThat(later.swap().getOrElse(List.of())).isEqualTo(fresh.swap().getOrElse(List.of()));
+			Truth.assertThat(later.isRight() ? later.get().route("GET", "/rota") : null)
+				.isEqualTo(fresh.isRight() ? fresh.get().route("GET", "/rota") : null);
+		}
+		Truth.assertThat(check(this.checker, changes[1]).isLeft()).isTrue();
+	}
+
 }
