--- a/wigeonmast-verification/src/test/java/org/wigeonmast/verification/fleet/FleetFuzzTests.java
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/fleet/FleetFuzzTests.java
@@ -6,9 +6,11 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.EdgeCasesMode;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.RandomDistribution;
 import net.jqwik.api.ShrinkingMode;
 import org.junit.jupiter.api.Test;
 
@@ -18,9 +20,9 @@
 /**
  * Random requests, faults, stops, replacements and manifests against the oracle.
  * <p>
- * {@code -Dwigeonmast.fuzz.tries=N} raises the number of tries. The first {@value #TRIES}
- * are a property whose failing cases shrink; the others run one after the other, from the
- * same fixed seed.
+ * A property runs {@value #TRIES} tries whose failing cases shrink. A second test runs
+ * tries with steps of its own from a fixed seed, by default {@value #TRIES};
+ * {@code -Dwigeonmast.fuzz.tries=N} sets their number.
  */
 class FleetFuzzTests {
 
@@ -36,17 +38,17 @@
 	 * @param seed the seed of the network and the components
 	 * @param steps the steps
 	 */
-	@Property(tries = TRIES, seed = "20261204", shrinking = ShrinkingMode.BOUNDED)
+	@Property(tries = TRIES, seed = "20261204", shrinking = ShrinkingMode.BOUNDED, edgeCases = EdgeCasesMode.NONE)
 	void guaranteesHoldUnderRandomFaults(@ForAll("seeds") long seed, @ForAll("steps") List<FleetStep> steps) {
 		assertThat(run(seed, steps)).isEmpty();
 	}
 
 	/** Guards as above over as many further tries as the system property asks for. */
 	@Test
-	void guaranteesHoldOverFurtherTries() {
+	void guaranteesHoldOverManyTries() {
 		int tries = Integer.getInteger("wigeonmast.fuzz.tries", TRIES);
 		Random random = new Random(20_261_204);
-		for (int number = TRIES; number < tries; number++) {
+		for (int number = 0; number < tries; number++) {
 			List<FleetStep> chosen = random.ints(LONGEST, 0, Integer.MAX_VALUE)
 				.mapToObj((bits) -> FleetStep.of(new Random(bits)))
 				.toList();
@@ -67,7 +69,8 @@
 			.as(FleetStep::new)
 			.list()
 			.ofMinSize(1)
-			.ofMaxSize(LONGEST);
+			.ofMaxSize(LONGEST)
+			.withSizeDistribution(RandomDistribution.uniform());
 	}
 
 	static List<String> run(long seed, List<FleetStep> steps) {
