Fix three faults that fuzzing found

EjectionView set timers in the past for ejections whose lease had ended, so it ticked without pause until the next query (SilentOwnerTimerTests). MembershipList reported a pause again for each input before the late tick; with no peer left the reports recursed until the stack was full (PausedLastMemberTests). A daemon that hears of nobody for 3 s now reads the store itself, and a suspected reader is replaced at once.

The architecture rule about components leaves out the benches, which hold rejected alternatives.

--- a/wigeonmast-health/src/main/java/org/wigeonmast/health/EjectionView.java
+++ b/wigeonmast-health/src/main/java/org/wigeonmast/health/EjectionView.java
@@ -86,6 +86,9 @@
 		while (entries.hasNext()) {
 			Map.Entry<Source, Advice> entry = entries.next();
 			Advice advice = entry.getValue();
+			// An ejection whose lease ended must not set the next timer, which would be
+			// in the past.
+			advice.ejections = advice.ejections.stream().filter((ejection) -> now < ejection.until()).toList();
 			if (now >= advice.nextQuery) {
 				if (advice.until(now) <= now && now >= advice.keepUntil) {
 					entries.remove();
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/ManifestFollower.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/ManifestFollower.java
@@ -69,6 +69,9 @@
 
 	private static final int MAXIMUM_REJECTED = 64;
 
+	/** Time without any answer after which a daemon that is no reader reads the store. */
+	private static final long ALONE_TIME = 3000;
+
 	/** Time without any answer after which the daemon counts as cut off. */
 	private static final long CUT_OFF_TIME = 10_000;
 
@@ -190,6 +193,7 @@
 
 	@Override
 	public List<FollowEffect> tick(long now) {
+		updateReading(now);
 		if (this.store.tick(now, this.effects)) {
 			reportStoreFailure("no answer in time");
 		}
@@ -208,6 +212,9 @@
 		if (this.joined && !this.ready) {
 			next = Math.min(next, this.poll.nextTick());
 		}
+		if (!isReader() && !this.store.isActive()) {
+			next = Math.min(next, this.lastContact + ALONE_TIME);
+		}
 		return (this.cutOff || this.accepted == null) ? next : Math.min(next, this.lastContact + CUT_OFF_TIME);
 	}
 
@@ -281,7 +288,7 @@
 		this.peers = byAddress;
 		this.localPeers = local;
 		this.rank = change.rank();
-		this.store.setActive(now, this.rank != FollowInput.PeersChanged.NO_READER);
+		updateReading(now);
 		this.poll.setAsked((local.isEmpty()) ? readersElsewhere() : local);
 		if (change.joined() && !this.joined) {
 			this.joined = true;
@@ -290,6 +297,16 @@
 		}
 	}
 
+	private boolean isReader() {
+		return this.rank != FollowInput.PeersChanged.NO_READER;
+	}
+
+	// The readers may have crashed together, so a daemon that hears of nobody reads the
+	// store itself.
+	private void updateReading(long now) {
+		this.store.setActive(now, isReader() || now - this.lastContact >= ALONE_TIME);
+	}
+
 	private void readStoreIndex(long now, byte[] bytes) {
 		storeAnswered(now);
 		String hash = ContentHash.of(bytes);
@@ -528,7 +545,7 @@
 		for (int i = 0; i < this.settings.fanOut() && !this.localPeers.isEmpty(); i++) {
 			chosen.add(this.localPeers.get(this.random.nextInt(this.localPeers.size())));
 		}
-		if (this.rank != FollowInput.PeersChanged.NO_READER) {
+		if (isReader()) {
 			chosen.addAll(readersElsewhere());
 		}
 		for (Peer peer : new LinkedHashSet<>(chosen)) {
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/StoreReader.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/StoreReader.java
@@ -37,6 +37,10 @@
 		this.random = random;
 	}
 
+	boolean isActive() {
+		return this.active;
+	}
+
 	boolean isFailing() {
 		return this.active && this.failing;
 	}
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/MembershipList.java
@@ -59,6 +59,8 @@
 
 	private boolean started;
 
+	private boolean resuming;
+
 	private boolean joined;
 
 	private boolean isolated;
@@ -158,6 +160,7 @@
 	@Override
 	public List<MembershipEffect> tick(long now) {
 		begin(now);
+		this.resuming = false;
 		if (!this.joined && now >= this.nextJoin) {
 			join(now);
 		}
@@ -210,7 +213,9 @@
 			return;
 		}
 		long late = now - nextTick();
-		if (late > this.settings.pauseThreshold()) {
+		// Inputs that come before the late tick belong to the same pause.
+		if (late > this.settings.pauseThreshold() && !this.resuming) {
+			this.resuming = true;
 			resume(now, late);
 		}
 	}
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
@@ -15,6 +15,7 @@
 import org.wigeonmast.core.ServiceName;
 import org.wigeonmast.membership.Member;
 import org.wigeonmast.membership.MemberPhase;
+import org.wigeonmast.membership.MemberStatus;
 
 /**
  * Ranks the daemons of a region for each service by rendezvous hashing.
@@ -46,7 +47,10 @@
 	 */
 	public void update(Collection<Member> live) {
 		this.ready = candidates(live, (member) -> member.phase() == MemberPhase.READY);
-		this.reading = candidates(live, (member) -> member.phase() != MemberPhase.LEAVING);
+		// A suspected reader is replaced at once, since one more reader for a moment
+		// costs little.
+		this.reading = candidates(live,
+				(member) -> member.phase() != MemberPhase.LEAVING && member.status() == MemberStatus.LIVE);
 		this.ranks.clear();
 		this.readers.clear();
 	}
--- a/wigeonmast-verification/src/test/java/org/wigeonmast/verification/ArchitectureTests.java
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/ArchitectureTests.java
@@ -58,6 +58,10 @@
 			.areAssignableTo(Component.class)
 			.and()
 			.areNotInterfaces()
+			.and()
+			// Benches hold rejected alternatives for comparison, which the product does
+			// not contain.
+			.resideOutsideOfPackage(within("bench"))
 			.should()
 			.resideInAnyPackage(COMPONENT_PACKAGES)
 			.check(CLASSES);
