Rank only the first owners and keep the ranks of unchanged regions

Cause: each change of a member sorted all members of all regions for all services: 505 ms of the control thread at 3,000 daemons, 980 services and 6 regions, at about one change in two seconds.

--- a/wigeonmast-bench/src/main/java/org/wigeonmast/bench/capacity/CapacityBench.java
+++ b/wigeonmast-bench/src/main/java/org/wigeonmast/bench/capacity/CapacityBench.java
@@ -29,6 +29,10 @@
 import org.wigeonmast.manifest.BackendServer;
 import org.wigeonmast.manifest.Service;
 import org.wigeonmast.manifest.WorkClass;
+import org.wigeonmast.membership.Member;
+import org.wigeonmast.membership.MemberPhase;
+import org.wigeonmast.membership.MemberStatus;
+import org.wigeonmast.membership.ownership.Ownership;
 
 /**
  * Measures the bytes of control messages, and the heap and processor time of owners.
@@ -45,6 +49,14 @@
 
 	private static final int SLOTS = 2;
 
+	private static final int DAEMONS = 3000;
+
+	private static final int SERVICES = 980;
+
+	private static final int REGIONS = 6;
+
+	private static final int CHANGES = 20;
+
 	private static final Region REGION = new Region("region-1");
 
 	private static final FailureDomain DOMAIN = new FailureDomain(REGION, "domain-1");
@@ -71,6 +83,7 @@
 		printHealthSizes();
 		printHeap();
 		printProcessorTime();
+		printOwnershipTime();
 		return 0;
 	}
 
@@ -142,6 +155,39 @@
 				elapsed / 1000.0 / OBSERVATIONS);
 	}
 
+	// One member of one region is replaced; the owners of all services in all regions are
+	// asked for again.
+	private void printOwnershipTime() {
+		List<Member> members = new ArrayList<>();
+		for (int index = 0; index < DAEMONS; index++) {
+			members.add(member(index, 1));
+		}
+		Ownership ownership = new Ownership();
+		rankAll(ownership, members);
+		long start = System.nanoTime();
+		for (int change = 0; change < CHANGES; change++) {
+			members.set(change, member(change, 2));
+			rankAll(ownership, members);
+		}
+		this.output.printf("Ownership: %.1f ms for each change of a member (%d daemons, %d services, %d regions)%n",
+				(System.nanoTime() - start) / 1e6 / CHANGES, DAEMONS, SERVICES, REGIONS);
+	}
+
+	private static void rankAll(Ownership ownership, List<Member> members) {
+		ownership.update(members);
+		for (int service = 0; service < SERVICES; service++) {
+			for (int region = 0; region < REGIONS; region++) {
+				ownership.rank(new ServiceName("service-" + service), new Region("region-" + region));
+			}
+		}
+	}
+
+	private static Member member(int index, long incarnation) {
+		FailureDomain domain = new FailureDomain(new Region("region-" + index % REGIONS), "a");
+		return new Member(new DaemonId("entry-" + index, incarnation), 0, new HostAddress("10.1.2.3", index), domain,
+				MemberPhase.READY, MemberStatus.LIVE);
+	}
+
 	// 340 observations a second are 8 servers with the design load of 17 requests/s and
 	// more.
 	private static HealthMonitor monitor(int observations) {
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DispatchShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DispatchShell.java
@@ -45,12 +45,6 @@
  */
 final class DispatchShell {
 
-	/**
-	 * Number of daemons in rank order that the entry side is told of for each service and
-	 * region.
-	 */
-	private static final int RANKED_OWNERS = 3;
-
 	/** Time in milliseconds between two readings of the time of day. */
 	private static final long TIME_OF_DAY_INTERVAL_MILLISECONDS = 10_000;
 
@@ -252,7 +246,7 @@
 	}
 
 	private static List<DaemonId> ranked(Ownership ownership, ServiceName service, Region region) {
-		return ownership.rank(service, region).stream().limit(RANKED_OWNERS).map(Member::id).toList();
+		return ownership.rank(service, region).stream().map(Member::id).toList();
 	}
 
 }
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Predicate;
 
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -28,11 +29,21 @@
  */
 public final class Ownership {
 
+	/**
+	 * Number of members in the order of ownership that are known for each service and
+	 * region.
+	 */
+	public static final int RANKED_MEMBERS = 3;
+
 	/** Number of daemons in each region that read the store. */
 	public static final int READERS_PER_REGION = 2;
 
 	private static final String READERS_KEY = "manifest readers";
 
+	private static final Comparator<Scored> BY_RANK = Comparator.comparingInt(Scored::score)
+		.reversed()
+		.thenComparing((scored) -> scored.member.name());
+
 	private Map<Region, List<Candidate>> ready = Map.of();
 
 	private Map<Region, List<Candidate>> reading = Map.of();
@@ -46,25 +57,28 @@
 	 * @param live the live members, this daemon included
 	 */
 	public void update(Collection<Member> live) {
+		Map<Region, List<Candidate>> before = this.ready;
 		this.ready = candidates(live, (member) -> member.phase() == MemberPhase.READY);
+		// A change concerns one region as a rule, and the ranks of the others still hold.
+		this.ranks.keySet().removeIf((key) -> !Objects.equals(before.get(key.region), this.ready.get(key.region)));
 		// A suspected reader is replaced at once, since one more reader for a moment
 		// costs little.
 		this.reading = candidates(live,
 				(member) -> member.phase() != MemberPhase.LEAVING && member.status() == MemberStatus.LIVE);
-		this.ranks.clear();
 		this.readers.clear();
 	}
 
 	/**
-	 * Returns the live ready members of a region in the order in which they own a
+	 * Returns the first live ready members of a region in the order in which they own a
 	 * service.
 	 * @param service the service
 	 * @param region the region
-	 * @return the members, the owner first; empty if none is ready
+	 * @return at most {@link #RANKED_MEMBERS} members, the owner first; empty if none is
+	 * ready
 	 */
 	public List<Member> rank(ServiceName service, Region region) {
 		return this.ranks.computeIfAbsent(new Key(service, region),
-				(key) -> sorted(service.value(), region, this.ready));
+				(key) -> first(RANKED_MEMBERS, service.value(), region, this.ready));
 	}
 
 	/**
@@ -86,7 +100,7 @@
 	 */
 	public List<Member> readers(Region region) {
 		return this.readers.computeIfAbsent(region,
-				(key) -> sorted(READERS_KEY, region, this.reading).stream().limit(READERS_PER_REGION).toList());
+				(key) -> first(READERS_PER_REGION, READERS_KEY, region, this.reading));
 	}
 
 	private static Map<Region, List<Candidate>> candidates(Collection<Member> live, Predicate<Member> filter) {
@@ -100,16 +114,20 @@
 		return byRegion;
 	}
 
-	private static List<Member> sorted(String key, Region region, Map<Region, List<Candidate>> candidates) {
+	private static List<Member> first(int count, String key, Region region, Map<Region, List<Candidate>> candidates) {
 		long keyHash = hash(key + "/" + region.name());
-		List<Scored> scored = new ArrayList<>();
+		List<Scored> first = new ArrayList<>(count + 1);
 		for (Candidate candidate : candidates.getOrDefault(region, List.of())) {
-			scored.add(new Scored(candidate.member, MurmurHash3.hash32(keyHash, candidate.hash)));
+			int score = MurmurHash3.hash32(keyHash, candidate.hash);
+			if (first.size() < count || score >= first.getLast().score) {
+				first.add(new Scored(candidate.member, score));
+				first.sort(BY_RANK);
+				if (first.size() > count) {
+					first.removeLast();
+				}
+			}
 		}
-		scored.sort(Comparator.comparingInt(Scored::score)
-			.reversed()
-			.thenComparing((candidate) -> candidate.member.name()));
-		return scored.stream().map(Scored::member).toList();
+		return first.stream().map(Scored::member).toList();
 	}
 
 	private static long hash(String text) {
