Use the wait of watches from the settings and keep one hash of manifests

watch-wait had no effect: the follower's own 3 s were used. It now has effect, with 3 s as default and 8 s at most, since a daemon without any answer for 10 s counts as cut off.

--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/PublishedManifest.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/PublishedManifest.java
@@ -1,15 +1,13 @@
 package org.wigeonmast.cli.standin;
 
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.commons.codec.digest.DigestUtils;
 
 /**
  * The documents of a manifest as a pipeline publishes them.
@@ -44,20 +42,11 @@
 		ArrayNode entries = index.putArray("parts");
 		Map<String, byte[]> parts = new LinkedHashMap<>();
 		partsByName.forEach((name, bytes) -> {
-			String hash = sha256(bytes);
+			String hash = DigestUtils.sha256Hex(bytes);
 			parts.put(hash, bytes);
 			entries.addObject().put("name", name).put("sha256", hash).put("size", bytes.length);
 		});
 		return new PublishedManifest(index.toString().getBytes(StandardCharsets.UTF_8), parts);
 	}
 
-	static String sha256(byte[] bytes) {
-		try {
-			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
-		}
-		catch (NoSuchAlgorithmException exception) {
-			throw new IllegalStateException("Every Java platform has SHA-256", exception);
-		}
-	}
-
 }
--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/WatchedDocument.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/standin/WatchedDocument.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.apache.commons.codec.digest.DigestUtils;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,7 +33,7 @@
 
 	void set(byte[] newDocument) {
 		this.document = newDocument;
-		this.entityTag = "\"" + PublishedManifest.sha256(newDocument) + "\"";
+		this.entityTag = "\"" + DigestUtils.sha256Hex(newDocument) + "\"";
 		List<Watch> ending = List.copyOf(this.watches);
 		this.watches.clear();
 		ending.forEach((watch) -> send(watch.context()));
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonAssembly.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/DaemonAssembly.java
@@ -17,7 +17,6 @@
 import org.wigeonmast.core.WigeonmastException;
 import org.wigeonmast.daemon.DaemonAddresses;
 import org.wigeonmast.daemon.DaemonEvent;
-import org.wigeonmast.manifest.follow.FollowSettings;
 import org.wigeonmast.manifest.store.ConfigurationStoreClient;
 import org.wigeonmast.proxy.ProxyConfiguration;
 import org.wigeonmast.proxy.ProxyServer;
@@ -89,7 +88,7 @@
 		this.links = PeerLinks.open(new LinkSettings(this.self, settings.peers().address(), settings.peers().key()),
 				this::received);
 		this.store = new ConfigurationStoreClient(settings.store().baseUrl(), settings.store().callTimeout(),
-				FollowSettings.standard().watchWait());
+				settings.store().watchWait());
 		this.proxy = new ProxyServer(configuration(settings), clock, () -> core().routing(),
 				(event) -> core().requestEvent(event), this.metrics);
 		this.core = new DaemonCore(this.control, settings, this.self,
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/FollowSettings.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/FollowSettings.java
@@ -23,6 +23,12 @@
 		long queryInterval, long secondReaderDelay, long memberDelay, int fanOut, int requestWindow, int maximumContent,
 		int maximumParts) {
 
+	/**
+	 * Standard of {@link #watchWait()}, which is also the time until a silent store is
+	 * noticed.
+	 */
+	public static final long STANDARD_WATCH_WAIT = 3000;
+
 	private static final int ONE_MEGABYTE = 1 << 20;
 
 	/**
@@ -30,7 +36,18 @@
 	 * @return the settings
 	 */
 	public static FollowSettings standard() {
-		return new FollowSettings(3000, 1000, 1000, 500, 300, 1000, 2000, 3, 8, ONE_MEGABYTE, 10_000);
+		return new FollowSettings(STANDARD_WATCH_WAIT, 1000, 1000, 500, 300, 1000, 2000, 3, 8, ONE_MEGABYTE, 10_000);
+	}
+
+	/**
+	 * Returns these settings with another wait of watches.
+	 * @param wait the time that a watch waits at the store
+	 * @return the settings
+	 */
+	public FollowSettings withWatchWait(long wait) {
+		return new FollowSettings(wait, this.storeTimeout, this.storeRetry, this.requestTimeout, this.queryInterval,
+				this.secondReaderDelay, this.memberDelay, this.fanOut, this.requestWindow, this.maximumContent,
+				this.maximumParts);
 	}
 
 }
--- a/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/ManifestFollower.java
+++ b/wigeonmast-manifest/src/main/java/org/wigeonmast/manifest/follow/ManifestFollower.java
@@ -22,6 +22,7 @@
 import org.wigeonmast.manifest.ManifestChecker;
 import org.wigeonmast.manifest.ManifestIndex;
 import org.wigeonmast.manifest.ManifestPart;
+import org.wigeonmast.manifest.internal.Hashes;
 
 /**
  * Follows the manifest: reads versions from the store or from peers, accepts them and
@@ -309,7 +310,7 @@
 
 	private void readStoreIndex(long now, byte[] bytes) {
 		storeAnswered(now);
-		String hash = ContentHash.of(bytes);
+		String hash = Hashes.sha256(bytes);
 		this.store.answered(now, hash);
 		Either<List<String>, ManifestIndex> read = readIndex(bytes);
 		if (read.isLeft()) {
@@ -361,7 +362,7 @@
 			return;
 		}
 		byte[] bytes = decode(reply.content(), this.settings.maximumContent());
-		if (bytes == null || !ContentHash.of(bytes).equals(reply.hash())) {
+		if (bytes == null || !Hashes.sha256(bytes).equals(reply.hash())) {
 			report(FollowEvent.CONTENT_INVALID, reply.hash(), from, "wrong hash");
 			return;
 		}
@@ -380,7 +381,7 @@
 			return;
 		}
 		byte[] bytes = decode(content, part.size());
-		if (bytes == null || bytes.length != part.size() || !ContentHash.of(bytes).equals(hash)) {
+		if (bytes == null || bytes.length != part.size() || !Hashes.sha256(bytes).equals(hash)) {
 			report(FollowEvent.CONTENT_INVALID, hash, from, "wrong size or hash");
 			return;
 		}
--- a/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/follow/FollowerSimulation.java
+++ b/wigeonmast-manifest/src/test/java/org/wigeonmast/manifest/follow/FollowerSimulation.java
@@ -23,6 +23,7 @@
 import org.wigeonmast.manifest.ManifestPart;
 import org.wigeonmast.manifest.Route;
 import org.wigeonmast.manifest.Service;
+import org.wigeonmast.manifest.internal.Hashes;
 import org.wigeonmast.testing.EventQueue;
 import org.wigeonmast.testing.FakeNetwork;
 
@@ -74,8 +75,8 @@
 		String text = version + "";
 		for (String part : List.of("part of version " + version, "shared part")) {
 			byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
-			this.content.put(ContentHash.of(bytes), bytes);
-			text += " " + ContentHash.of(bytes) + " " + bytes.length;
+			this.content.put(Hashes.sha256(bytes), bytes);
+			text += " " + Hashes.sha256(bytes) + " " + bytes.length;
 		}
 		this.indexes.add(text.getBytes(StandardCharsets.UTF_8));
 		this.served = this.indexes.size() - 1;
@@ -100,7 +101,7 @@
 		for (int i = 1; i < words.length; i += 2) {
 			parts.add(new ManifestPart("part-" + i, words[i], Long.parseLong(words[i + 1])));
 		}
-		return Either.right(new ManifestIndex(Long.parseLong(words[0]), ContentHash.of(bytes), parts));
+		return Either.right(new ManifestIndex(Long.parseLong(words[0]), Hashes.sha256(bytes), parts));
 	}
 
 	@Override
@@ -223,7 +224,7 @@
 		private void watch(int expected, FollowEffect.WatchIndex watch) {
 			FollowerSimulation.this.queue.schedule(watch.waitTime() * 300, () -> {
 				byte[] index = FollowerSimulation.this.indexes.get(FollowerSimulation.this.served);
-				give(expected, ContentHash.of(index).equals(watch.knownHash()) ? new FollowInput.StoreUnchanged()
+				give(expected, Hashes.sha256(index).equals(watch.knownHash()) ? new FollowInput.StoreUnchanged()
 						: new FollowInput.StoreIndex(index));
 			});
 		}
--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/StoreSettings.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/StoreSettings.java
@@ -18,7 +18,7 @@
 	public static final long DEFAULT_CALL_TIMEOUT = 2_000;
 
 	/** Default of {@link #watchWait()} in milliseconds. */
-	public static final long DEFAULT_WATCH_WAIT = 30_000;
+	public static final long DEFAULT_WATCH_WAIT = 3_000;
 
 	/**
 	 * Creates settings with the default times.
--- a/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsKeys.java
+++ b/wigeonmast-settings/src/main/java/org/wigeonmast/settings/internal/SettingsKeys.java
@@ -77,9 +77,12 @@
 	public static final SettingsKey<Long> STORE_CALL_TIMEOUT = key("store", "call-timeout",
 			NumberType.duration(100, MINUTE), "2 s");
 
-	/** Time that a watch of the store waits. */
+	/**
+	 * Time that a watch of the store waits; a daemon without any answer for 10 s counts
+	 * as cut off.
+	 */
 	public static final SettingsKey<Long> STORE_WATCH_WAIT = key("store", "watch-wait",
-			NumberType.duration(SECOND, 10 * MINUTE), "30 s");
+			NumberType.duration(SECOND, 8 * SECOND), "3 s");
 
 	/** Size of a caller's request head. */
 	public static final SettingsKey<Long> HEAD_SIZE = key("limits", "head-size",
