--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoScript.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/demo/DemoScript.java
@@ -85,6 +85,9 @@
 		this.fleet.start();
 		long ready = await(START_LIMIT, () -> this.fleet.daemons().stream().allMatch((d) -> d.daemon().isReady()));
 		tell("3 daemons and 3 backend servers run; ready after " + ready + " ms");
+		StringBuilder command = new StringBuilder("meanwhile try: bin/wigeonmast explain rota-2");
+		this.fleet.daemons().forEach((daemon) -> command.append(" --admin ").append(daemon.admin()));
+		tell(command.toString());
 		this.observer.start();
 		this.load.start();
 		begin("all healthy");
