--- a/wigeonmast-verification/src/test/java/org/wigeonmast/verification/DaemonProcess.java
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/DaemonProcess.java
@@ -75,15 +75,23 @@
 	}
 
 	boolean isReady() {
+		return readinessStatus() == HTTP_OK;
+	}
+
+	/**
+	 * Returns the status of the readiness check.
+	 * @return the HTTP status, or 0 if nobody answers
+	 */
+	int readinessStatus() {
 		try {
 			HttpURLConnection connection = (HttpURLConnection) URI
 				.create("http://" + this.addresses.operators() + "/ready")
 				.toURL()
 				.openConnection();
-			return connection.getResponseCode() == HTTP_OK;
+			return connection.getResponseCode();
 		}
 		catch (IOException exception) {
-			return false;
+			return 0;
 		}
 	}
 
--- a/wigeonmast-verification/src/test/java/org/wigeonmast/verification/DaemonProcessTests.java
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/DaemonProcessTests.java
@@ -16,11 +16,13 @@
  */
 class DaemonProcessTests {
 
+	private static final int UNAVAILABLE = 503;
+
 	@TempDir
 	Path directory;
 
-	// Guards against a planned stop that cuts a long download, and against another exit
-	// status than 0.
+	// Guards against a planned stop that cuts a long download, against a readiness check
+	// that goes silent in place of failing, and against another exit status than 0.
 	@Test
 	void termSignalDuringLongDownloadCutsNothing() throws Exception {
 		try (LoopbackFleet fleet = new LoopbackFleet(1)) {
@@ -34,7 +36,7 @@
 			try (InputStream body = download.getInputStream()) {
 				byte[] start = body.readNBytes(1000);
 				daemon.terminate();
-				LoopbackFleet.await(() -> !daemon.isReady(), "readiness fails");
+				LoopbackFleet.await(() -> daemon.readinessStatus() == UNAVAILABLE, "readiness fails");
 				daemon.terminate();
 				byte[] rest = body.readAllBytes();
 				byte[] expected = AnswerBody.of("download", LoopbackFleet.LONG_SIZE);
