--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -0,0 +1,473 @@
+package org.wigeonmast.balance;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.balance.internal.BalancedRequest;
+import org.wigeonmast.balance.internal.BalancedRequest.Sending;
+import org.wigeonmast.balance.internal.ServerChoice;
+import org.wigeonmast.balance.internal.ServerState;
+import org.wigeonmast.balance.internal.ServiceState;
+import org.wigeonmast.balance.peer.ServerNews;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.RequestId;
+import org.wigeonmast.core.RequestOutcome;
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.dispatch.AttemptReport;
+import org.wigeonmast.dispatch.ConnectionRequirement;
+import org.wigeonmast.dispatch.ExchangeCommand;
+import org.wigeonmast.dispatch.RequestDescription;
+import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.manifest.BackendServer;
+
+/**
+ * Decides the life of each request of a daemon in a fleet without owners.
+ * <p>
+ * Thread safety: none; the control thread owns it. Invariants: each accepted request ends
+ * exactly once as answered, not run or unknown; it ends as not run only if no byte of it
+ * was sent or each server that received it stated that it did not run it; a
+ * non-idempotent request is sent to a second server only under that same condition.
+ */
+public final class BalanceCoordinator implements Component<BalanceInput, BalanceEffect> {
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int MISDIRECTED = 421;
+
+	/** The most servers to which a connection is tried for one request. */
+	private static final int MOST_CONNECTS = 6;
+
+	/** Part of the target latency after which a repeatable request is sent once more. */
+	private static final double SECOND_SEND_AT = 0.55;
+
+	/** Time in milliseconds that a refused caller is told to wait, at least. */
+	private static final long RETRY_AFTER = 150;
+
+	/**
+	 * Spread in milliseconds of that time, so that refused callers do not return at once.
+	 */
+	private static final int RETRY_AFTER_SPREAD = 300;
+
+	private static final int DEFAULT_CONNECTIONS = 100;
+
+	private static final String NO_SERVER = "no backend server of the service can be reached";
+
+	private static final String SHED = "the backend servers are full";
+
+	private final Map<ServiceName, ServiceState> services = new HashMap<>();
+
+	private final Map<BackendServerId, ServerState> servers = new HashMap<>();
+
+	private final Map<RequestId, BalancedRequest> requests = new HashMap<>();
+
+	private final PriorityQueue<Check> checks = new PriorityQueue<>(Comparator.comparingLong(Check::at));
+
+	private final List<BalanceEffect> effects = new ArrayList<>();
+
+	private final BalanceSettings settings;
+
+	private final ServerChoice choice;
+
+	private final RandomGenerator random;
+
+	private @Nullable FleetConfiguration configuration;
+
+	private int daemons = 1;
+
+	/**
+	 * Creates a coordinator.
+	 * @param home the failure domain of this daemon
+	 * @param settings the settings
+	 * @param random the random numbers
+	 */
+	public BalanceCoordinator(FailureDomain home, BalanceSettings settings, RandomGenerator random) {
+		this.settings = settings;
+		this.random = random;
+		this.choice = new ServerChoice(home, settings.servedShare(), random);
+	}
+
+	@Override
+	public List<BalanceEffect> handle(long now, BalanceInput input) {
+		switch (input) {
+			case BalanceInput.Proxied proxied -> proxied(now, proxied.event());
+			case BalanceInput.Configured configured -> configured(configured.configuration());
+			case BalanceInput.ServerChanged changed -> serverChanged(now, changed.server());
+			case BalanceInput.ServerGone gone -> serverGone(gone.server());
+			case BalanceInput.Told told -> told(now, told.news());
+			case BalanceInput.FleetSize size -> {
+				this.daemons = Math.max(1, size.daemons());
+				this.services.values().forEach((service) -> service.allowance().setDaemons(this.daemons));
+			}
+		}
+		return drain();
+	}
+
+	@Override
+	public List<BalanceEffect> tick(long now) {
+		while (!this.checks.isEmpty() && this.checks.peek().at() <= now) {
+			check(now, this.checks.remove());
+		}
+		return drain();
+	}
+
+	@Override
+	public long nextTick() {
+		return this.checks.isEmpty() ? NO_TIMER : this.checks.peek().at();
+	}
+
+	/**
+	 * Returns the number of requests that have not ended.
+	 * @return the number
+	 */
+	public int active() {
+		return this.requests.size();
+	}
+
+	private List<BalanceEffect> drain() {
+		List<BalanceEffect> drained = List.copyOf(this.effects);
+		this.effects.clear();
+		return drained;
+	}
+
+	private void configured(FleetConfiguration changed) {
+		this.configuration = changed;
+		log(BalanceEvent.CONFIGURED, "", changed.version(), changed.size());
+	}
+
+	private void serverChanged(long now, ServerRecord server) {
+		ServerState known = this.servers.get(server.id());
+		if (known != null && known.record().isSameStart(server)) {
+			if (server.leaving() && !known.record().leaving()) {
+				log(BalanceEvent.SERVER_LEAVING, "", server.id(), server.service());
+			}
+			known.update(now, server);
+			return;
+		}
+		if (known != null) {
+			serverGone(server.id());
+		}
+		ServerState added = new ServerState(now, server);
+		this.servers.put(server.id(), added);
+		service(server.service()).put(added);
+		log(BalanceEvent.SERVER_ADDED, "", server.id(), server.service(), server.address(), server.failureDomain(),
+				server.startedAt(), server.warmup());
+	}
+
+	private void serverGone(BackendServerId id) {
+		ServerState gone = this.servers.remove(id);
+		if (gone != null) {
+			service(gone.record().service()).remove(id);
+			log(BalanceEvent.SERVER_GONE, "", id, gone.record().service());
+		}
+	}
+
+	private void told(long now, ServerNews news) {
+		ServerState server = this.servers.get(news.server());
+		if (server != null) {
+			server.observe(now, news.kind());
+			reportSuspicion(now, server, news.kind(), "told");
+		}
+	}
+
+	private void proxied(long now, RequestEvent event) {
+		switch (event) {
+			case RequestEvent.Accepted accepted -> accepted(now, accepted.request());
+			case RequestEvent.AttemptProgress progress -> {
+				BalancedRequest request = this.requests.get(progress.request());
+				Sending sending = (request != null) ? request.attempts.get(progress.attempt()) : null;
+				if (request != null && sending != null) {
+					progress(now, request, sending, progress.report());
+				}
+			}
+			case RequestEvent.CallerLeft left -> {
+				BalancedRequest request = this.requests.get(left.request());
+				if (request != null) {
+					callerLeft(now, request);
+				}
+			}
+		}
+	}
+
+	private void accepted(long now, RequestDescription description) {
+		BalancedRequest request = new BalancedRequest(now, description);
+		this.requests.put(description.id(), request);
+		service(description.service()).allowance().requestAccepted();
+		if (!send(now, request)) {
+			refuse(now, request, NO_SERVER);
+		}
+	}
+
+	/** Sends a request to a server that it was not sent to before, if there is one. */
+	private boolean send(long now, BalancedRequest request) {
+		RequestDescription description = request.description;
+		ServerState server = this.choice.choose(now, service(description.service()).servers(), request.tried,
+				description.workClass(), request.repeatable());
+		if (server == null || request.lastAttempt >= MOST_CONNECTS) {
+			return false;
+		}
+		int number = ++request.lastAttempt;
+		request.sends++;
+		request.tried.add(server.record().id());
+		request.lastServer = server.record().id().value();
+		request.attempts.put(number, new Sending(number, server, now));
+		server.countInFlight(1);
+		ServerRecord record = server.record();
+		this.effects.add(new BalanceEffect.Exchange(new ExchangeCommand.StartAttempt(request.id(), number,
+				new BackendServer(record.id(), record.address(), record.failureDomain(), record.slots(),
+						connections(record.service())),
+				description.idempotent() ? ConnectionRequirement.ANY : ConnectionRequirement.PROVEN,
+				description.deadline())));
+		scheduleChecks(now, request, number);
+		log(BalanceEvent.SENT, description.shownId(), number, description.plan().name(), record.id(), record.service(),
+				percent(server.suspicion().probability(now)), server.suspicion().evidenceAge(now),
+				description.deadline() - now);
+		return true;
+	}
+
+	private void scheduleChecks(long now, BalancedRequest request, int number) {
+		long target = request.description.plan().targetLatency();
+		if (target >= request.description.deadline() - now) {
+			return;
+		}
+		this.checks.add(new Check(now + target, request, number, true));
+		if (request.repeatable() && !request.secondSent) {
+			this.checks.add(new Check(now + (long) (target * SECOND_SEND_AT), request, number, false));
+		}
+	}
+
+	private void check(long now, Check check) {
+		BalancedRequest request = check.request();
+		Sending sending = request.attempts.get(check.attempt());
+		if (sending == null || request.relaying != BalancedRequest.NONE) {
+			return;
+		}
+		if (check.overdue()) {
+			observe(now, sending.server(), ServerNews.Kind.OVERDUE);
+		}
+		else if (!request.secondSent && mayRepeat(request)) {
+			request.secondSent = true;
+			log(BalanceEvent.SECOND_SEND, request.description.shownId(), sending.server().record().id(),
+					now - sending.startedAt());
+			send(now, request);
+		}
+	}
+
+	private void progress(long now, BalancedRequest request, Sending sending, AttemptReport report) {
+		switch (report) {
+			case AttemptReport.NothingSent nothing -> nothingSent(now, request, sending, nothing.reason());
+			case AttemptReport.ResponseStarted started -> responseStarted(now, request, sending, started);
+			case AttemptReport.Completed completed -> completed(now, request, sending, completed.status());
+			case AttemptReport.Broken broken -> broken(now, request, sending, broken);
+		}
+	}
+
+	private void nothingSent(long now, BalancedRequest request, Sending sending, String reason) {
+		remove(request, sending);
+		request.sends--;
+		sending.server().connectFailed(now);
+		observe(now, sending.server(), ServerNews.Kind.UNREACHABLE);
+		boolean again = now < request.description.deadline() && request.attempts.isEmpty() && send(now, request);
+		failed(now, request, sending, reason, again);
+		if (!again && request.attempts.isEmpty()) {
+			refuse(now, request, NO_SERVER);
+		}
+	}
+
+	private void responseStarted(long now, BalancedRequest request, Sending sending,
+			AttemptReport.ResponseStarted started) {
+		sending.server().answered();
+		if (started.notRun()) {
+			abort(request, sending);
+			if (started.status() == MISDIRECTED) {
+				sending.server().mismatch();
+				log(BalanceEvent.SERVER_MISMATCH, request.description.shownId(), sending.server().record().id(),
+						sending.server().record().address());
+			}
+			else {
+				observe(now, sending.server(), ServerNews.Kind.SHED);
+			}
+			boolean again = sendAgain(now, request, request.description.replayable());
+			failed(now, request, sending, "not run, status " + started.status(), again);
+			if (!again && request.attempts.isEmpty()) {
+				refuse(now, request, SHED);
+			}
+		}
+		else if (started.status() >= SERVER_ERROR
+				&& (request.attempts.size() > 1 || (request.repeatable() && hasOther(request) && mayRepeat(request)))) {
+			request.possiblyRun = true;
+			abort(request, sending);
+			observe(now, sending.server(), ServerNews.Kind.FAILED);
+			boolean again = request.attempts.isEmpty() && send(now, request);
+			failed(now, request, sending, "status " + started.status(), again);
+		}
+		else {
+			request.relaying = sending.number();
+			request.possiblyRun = true;
+			this.effects.add(new BalanceEffect.Exchange(new ExchangeCommand.Relay(request.id(), sending.number())));
+		}
+	}
+
+	private void completed(long now, BalancedRequest request, Sending sending, int status) {
+		ServerState server = sending.server();
+		if (status >= SERVER_ERROR) {
+			observe(now, server, ServerNews.Kind.FAILED);
+		}
+		else if (server.suspicion().isSuspected(now)) {
+			observe(now, server, ServerNews.Kind.SERVED);
+		}
+		else {
+			server.observe(now, ServerNews.Kind.SERVED);
+		}
+		log(BalanceEvent.ANSWERED, request.description.shownId(), status, server.record().id(),
+				now - request.acceptedAt, request.lastAttempt);
+		end(now, request, new RequestOutcome.Answered(status));
+	}
+
+	private void broken(long now, BalancedRequest request, Sending sending, AttemptReport.Broken broken) {
+		request.possiblyRun = true;
+		remove(request, sending);
+		observe(now, sending.server(), ServerNews.Kind.FAILED);
+		if (broken.responseStarted()) {
+			log(BalanceEvent.GIVEN_UP, request.description.shownId(), now - request.acceptedAt, request.lastAttempt,
+					request.lastServer, broken.reason());
+			end(now, request, new RequestOutcome.Unknown(broken.reason()));
+			return;
+		}
+		boolean again = now < request.description.deadline() && sendAgain(now, request, request.repeatable());
+		failed(now, request, sending, broken.reason(), again);
+		if (!again && request.attempts.isEmpty()) {
+			giveUp(now, request, broken.reason());
+		}
+	}
+
+	private boolean sendAgain(long now, BalancedRequest request, boolean allowed) {
+		return allowed && request.attempts.isEmpty() && hasOther(request) && mayRepeat(request) && send(now, request);
+	}
+
+	private boolean hasOther(BalancedRequest request) {
+		return service(request.description.service()).servers()
+			.stream()
+			.anyMatch((server) -> server.isUsable() && !request.tried.contains(server.record().id()));
+	}
+
+	private boolean mayRepeat(BalancedRequest request) {
+		return request.sends < request.description.plan().mostServers()
+				&& service(request.description.service()).allowance().take(this.random.nextDouble());
+	}
+
+	private void callerLeft(long now, BalancedRequest request) {
+		for (Sending sending : List.copyOf(request.attempts.values())) {
+			request.possiblyRun = true;
+			abort(request, sending);
+		}
+		log(BalanceEvent.CALLER_LEFT, request.description.shownId(), now - request.acceptedAt, request.lastAttempt);
+		end(now, request, request.possiblyRun ? new RequestOutcome.Unknown("the caller left")
+				: new RequestOutcome.NotRun("the caller left", 0));
+	}
+
+	private void refuse(long now, BalancedRequest request, String reason) {
+		if (request.possiblyRun) {
+			giveUp(now, request, reason);
+			return;
+		}
+		long retryAfter = RETRY_AFTER + this.random.nextInt(RETRY_AFTER_SPREAD);
+		log(BalanceEvent.REFUSED, request.description.shownId(), now - request.acceptedAt, request.lastAttempt, reason,
+				retryAfter);
+		conclude(now, request, new RequestOutcome.NotRun(reason, retryAfter));
+	}
+
+	private void giveUp(long now, BalancedRequest request, String reason) {
+		log(BalanceEvent.GIVEN_UP, request.description.shownId(), now - request.acceptedAt, request.lastAttempt,
+				request.lastServer, reason);
+		conclude(now, request, new RequestOutcome.Unknown(reason));
+	}
+
+	private void conclude(long now, BalancedRequest request, RequestOutcome outcome) {
+		this.effects.add(new BalanceEffect.Exchange(new ExchangeCommand.Refuse(request.id(), outcome)));
+		end(now, request, outcome);
+	}
+
+	private void end(long now, BalancedRequest request, RequestOutcome outcome) {
+		request.attempts.values().forEach((sending) -> sending.server().countInFlight(-1));
+		request.attempts.clear();
+		this.requests.remove(request.id());
+		this.effects
+			.add(new BalanceEffect.Ended(request.description.service().value(), outcome, now - request.acceptedAt));
+	}
+
+	private void failed(long now, BalancedRequest request, Sending sending, String reason, boolean again) {
+		log(BalanceEvent.ATTEMPT_FAILED, request.description.shownId(), sending.number(),
+				sending.server().record().id(), now - sending.startedAt(), reason, again);
+	}
+
+	private void abort(BalancedRequest request, Sending sending) {
+		this.effects.add(new BalanceEffect.Exchange(new ExchangeCommand.Abort(request.id(), sending.number())));
+		remove(request, sending);
+	}
+
+	private void remove(BalancedRequest request, Sending sending) {
+		if (request.attempts.remove(sending.number()) != null) {
+			sending.server().countInFlight(-1);
+		}
+	}
+
+	private void observe(long now, ServerState server, ServerNews.Kind kind) {
+		server.observe(now, kind);
+		this.effects.add(new BalanceEffect.Tell(new ServerNews(server.record().id(), kind),
+				server.record().failureDomain().region()));
+		reportSuspicion(now, server, kind, "seen");
+	}
+
+	private void reportSuspicion(long now, ServerState server, ServerNews.Kind kind, String source) {
+		if (!server.suspicionChanged(now)) {
+			return;
+		}
+		String cause = kind.name().toLowerCase(Locale.ROOT);
+		String probability = percent(server.suspicion().probability(now));
+		if (server.suspicion().isSuspected(now)) {
+			log(BalanceEvent.SUSPECTED, "", server.record().id(), server.record().service(), cause, source,
+					probability);
+		}
+		else {
+			log(BalanceEvent.TRUSTED, "", server.record().id(), server.record().service(), cause, probability);
+		}
+	}
+
+	private ServiceState service(ServiceName name) {
+		return this.services.computeIfAbsent(name, (added) -> new ServiceState(this.settings, this.daemons));
+	}
+
+	private int connections(ServiceName name) {
+		ServicePlan plan = (this.configuration != null) ? this.configuration.service(name) : null;
+		return (plan != null) ? plan.connections() : DEFAULT_CONNECTIONS;
+	}
+
+	private void log(BalanceEvent event, String request, Object... parameters) {
+		this.effects.add(new BalanceEffect.Logged(event, request, List.of(parameters)));
+	}
+
+	private static String percent(double probability) {
+		return Math.round(probability * 100) + "%";
+	}
+
+	/**
+	 * A look at an attempt that has not been answered.
+	 *
+	 * @param at when it is due
+	 * @param request the request
+	 * @param attempt the number of the attempt
+	 * @param overdue whether the target latency has passed
+	 */
+	private record Check(long at, BalancedRequest request, int attempt, boolean overdue) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEffect.java
@@ -0,0 +1,54 @@
+package org.wigeonmast.balance;
+
+import java.util.List;
+
+import org.wigeonmast.balance.peer.ServerNews;
+import org.wigeonmast.core.Region;
+import org.wigeonmast.core.RequestOutcome;
+import org.wigeonmast.dispatch.ExchangeCommand;
+
+/**
+ * An effect that the {@link BalanceCoordinator} asks its caller to carry out.
+ * <p>
+ * Thread safety: immutable.
+ */
+public sealed interface BalanceEffect {
+
+	/**
+	 * Passes a command to the proxy.
+	 *
+	 * @param command the command
+	 */
+	record Exchange(ExchangeCommand command) implements BalanceEffect {
+	}
+
+	/**
+	 * Tells peers what was seen of a backend server.
+	 *
+	 * @param news the news
+	 * @param region the region in which the server runs
+	 */
+	record Tell(ServerNews news, Region region) implements BalanceEffect {
+	}
+
+	/**
+	 * Counts the end of a request.
+	 *
+	 * @param service the service
+	 * @param outcome how it ended
+	 * @param milliseconds the time from its acceptance to its end
+	 */
+	record Ended(String service, RequestOutcome outcome, long milliseconds) implements BalanceEffect {
+	}
+
+	/**
+	 * Logs an event.
+	 *
+	 * @param event the event
+	 * @param request the identifier of the request concerned, empty if there is none
+	 * @param parameters the values for the event's text
+	 */
+	record Logged(BalanceEvent event, String request, List<Object> parameters) implements BalanceEffect {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/RoutingRule.java
@@ -0,0 +1,62 @@
+package org.wigeonmast.balance;
+
+import java.util.List;
+
+import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.manifest.Route;
+import org.wigeonmast.manifest.RoutePlan;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * A rule that leads the requests of a host below a path prefix to services.
+ * <p>
+ * Thread safety: immutable. Invariants: there is at least one part, and the weights are
+ * not all 0.
+ *
+ * @param host the host, in lower case and without port
+ * @param prefix the path prefix, which begins and ends with a slash
+ * @param parts the services that share the requests
+ * @param workClass the class of the requests
+ * @param idempotent whether a request may run more than once
+ * @param plan what the operators want of the requests
+ */
+public record RoutingRule(String host, String prefix, List<Part> parts, WorkClass workClass, boolean idempotent,
+		RoutePlan plan) {
+
+	/** Method of rules that apply to every method. */
+	private static final String EVERY_METHOD = "*";
+
+	public RoutingRule {
+		parts = List.copyOf(parts);
+	}
+
+	/**
+	 * Chooses the service of a request.
+	 * @param position a number from 0 (inclusive) to 1 (exclusive), uniform over requests
+	 * @return the route to that service
+	 */
+	public Route choose(double position) {
+		double total = this.parts.stream().mapToDouble(Part::weight).sum();
+		double left = position * total;
+		Part chosen = this.parts.getLast();
+		for (Part part : this.parts) {
+			left -= part.weight();
+			if (left < 0) {
+				chosen = part;
+				break;
+			}
+		}
+		return new Route(EVERY_METHOD, this.prefix, chosen.service(), this.workClass, this.idempotent,
+				this.plan.longest(), this.plan);
+	}
+
+	/**
+	 * A service and its share of the requests.
+	 *
+	 * @param service the service
+	 * @param weight the weight, at least 0
+	 */
+	public record Part(ServiceName service, double weight) {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/ServicePlan.java
@@ -0,0 +1,15 @@
+package org.wigeonmast.balance;
+
+import org.wigeonmast.core.ServiceName;
+
+/**
+ * What the operators configure for a service.
+ * <p>
+ * Thread safety: immutable.
+ *
+ * @param name the name
+ * @param connections the number of connections that each backend server accepts from the
+ * whole fleet
+ */
+public record ServicePlan(ServiceName name, int connections) {
+}
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/Change.java
@@ -0,0 +1,38 @@
+package org.wigeonmast.balance.follow;
+
+import org.wigeonmast.balance.FleetConfiguration;
+import org.wigeonmast.balance.ServerRecord;
+import org.wigeonmast.core.BackendServerId;
+
+/**
+ * A change of the published state.
+ * <p>
+ * Thread safety: immutable.
+ */
+public sealed interface Change {
+
+	/**
+	 * A backend server published its record.
+	 *
+	 * @param server the record
+	 */
+	record ServerWritten(ServerRecord server) implements Change {
+	}
+
+	/**
+	 * The record of a backend server was removed or is no longer usable.
+	 *
+	 * @param server the server
+	 */
+	record ServerRemoved(BackendServerId server) implements Change {
+	}
+
+	/**
+	 * The operators published a configuration.
+	 *
+	 * @param configuration the configuration
+	 */
+	record Configured(FleetConfiguration configuration) implements Change {
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
@@ -0,0 +1,277 @@
+package org.wigeonmast.balance.follow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.wigeonmast.balance.BalanceEvent;
+import org.wigeonmast.balance.FleetConfiguration;
+import org.wigeonmast.balance.ServerRecord;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.Component;
+
+/**
+ * Follows the published state of a store that can only be read.
+ * <p>
+ * Thread safety: none; the control thread owns it. Invariants: the version of the
+ * configuration in force never falls; at most one call is in progress; a record that was
+ * removed is out of use at once, unless the store was just away, when its servers get a
+ * short time to write their records again.
+ */
+public final class StateFollower implements Component<FollowInput, FollowEffect> {
+
+	/**
+	 * Time in milliseconds after the store's return during which records that lapsed
+	 * meanwhile may come back.
+	 */
+	public static final long LAPSE_GRACE = 2000;
+
+	/** Pause in milliseconds before the next watch, in which changes gather. */
+	private static final long GROUPING = 400;
+
+	/** First pause in milliseconds after a call failed. */
+	private static final long FIRST_PAUSE = 100;
+
+	private static final long LONGEST_PAUSE = 1000;
+
+	/** Time in milliseconds that a peer may be ahead before the state is read again. */
+	private static final long LAG_ACCEPTED = 300;
+
+	/** Time in milliseconds between two reads because a peer is ahead. */
+	private static final long LAG_PAUSE = 1000;
+
+	private final Map<BackendServerId, ServerRecord> servers = new HashMap<>();
+
+	private final Map<BackendServerId, Long> lapsed = new HashMap<>();
+
+	private final List<FollowEffect> effects = new ArrayList<>();
+
+	private final RandomGenerator random;
+
+	private long version = -1;
+
+	private long revision = -1;
+
+	private boolean complete;
+
+	private boolean lost;
+
+	private long lostAt;
+
+	private long regainedAt = Long.MIN_VALUE / 2;
+
+	private int failures;
+
+	private long retryAt = NO_TIMER;
+
+	private long peerRevision;
+
+	private long lagCheckAt = NO_TIMER;
+
+	private long lastLagRead = Long.MIN_VALUE / 2;
+
+	/**
+	 * Creates a follower.
+	 * @param random the random numbers for pauses
+	 */
+	public StateFollower(RandomGenerator random) {
+		this.random = random;
+	}
+
+	/**
+	 * Returns the revision up to which the state is known.
+	 * @return the revision, -1 before the first read
+	 */
+	public long revision() {
+		return this.revision;
+	}
+
+	/**
+	 * Returns whether the state is known as a whole and has a configuration.
+	 * @return whether requests can be served
+	 */
+	public boolean isComplete() {
+		return this.complete && this.version >= 0;
+	}
+
+	@Override
+	public List<FollowEffect> handle(long now, FollowInput input) {
+		switch (input) {
+			case FollowInput.Started _ -> read();
+			case FollowInput.Listed listed -> listed(now, listed.listing());
+			case FollowInput.Changed changed -> changed(now, changed);
+			case FollowInput.HistoryDropped _ -> {
+				log(BalanceEvent.HISTORY_DROPPED, this.revision);
+				read();
+			}
+			case FollowInput.Failed failed -> failed(now, failed.reason());
+			case FollowInput.PeerRevision peer -> peerRevision(now, peer.revision());
+		}
+		return drain();
+	}
+
+	@Override
+	public List<FollowEffect> tick(long now) {
+		if (this.retryAt <= now) {
+			this.retryAt = NO_TIMER;
+			resume();
+		}
+		if (this.lagCheckAt <= now) {
+			this.lagCheckAt = NO_TIMER;
+			if (this.peerRevision > this.revision && this.retryAt == NO_TIMER) {
+				this.lastLagRead = now;
+				log(BalanceEvent.BEHIND_PEER, this.peerRevision, this.revision);
+				resume();
+			}
+		}
+		dropLapsed(now);
+		return drain();
+	}
+
+	@Override
+	public long nextTick() {
+		long next = Math.min(this.retryAt, this.lagCheckAt);
+		for (long until : this.lapsed.values()) {
+			next = Math.min(next, until);
+		}
+		return next;
+	}
+
+	private List<FollowEffect> drain() {
+		List<FollowEffect> drained = List.copyOf(this.effects);
+		this.effects.clear();
+		return drained;
+	}
+
+	private void read() {
+		this.effects.add(new FollowEffect.ReadState());
+	}
+
+	private void resume() {
+		if (this.revision < 0) {
+			read();
+		}
+		else {
+			this.effects.add(new FollowEffect.Watch(this.revision));
+		}
+	}
+
+	private void listed(long now, Listing listing) {
+		contact(now, listing.revision());
+		if (listing.configuration() != null) {
+			configured(listing.configuration());
+		}
+		Set<BackendServerId> missing = new HashSet<>(this.servers.keySet());
+		for (ServerRecord server : listing.servers()) {
+			missing.remove(server.id());
+			written(server);
+		}
+		missing.forEach((server) -> removed(now, server));
+		this.revision = listing.revision();
+		if (!this.complete) {
+			this.complete = true;
+			this.effects.add(new FollowEffect.Complete());
+		}
+		resume();
+	}
+
+	private void changed(long now, FollowInput.Changed changed) {
+		contact(now, changed.revision());
+		for (Change change : changed.changes()) {
+			switch (change) {
+				case Change.ServerWritten written -> written(written.server());
+				case Change.ServerRemoved removed -> removed(now, removed.server());
+				case Change.Configured configured -> configured(configured.configuration());
+			}
+		}
+		this.revision = Math.max(this.revision, changed.revision());
+		// Changes come in groups; one call brings those of the pause as well.
+		this.retryAt = now + GROUPING;
+	}
+
+	private void written(ServerRecord server) {
+		this.lapsed.remove(server.id());
+		if (!server.equals(this.servers.put(server.id(), server))) {
+			this.effects.add(new FollowEffect.Apply(new Change.ServerWritten(server)));
+		}
+	}
+
+	private void removed(long now, BackendServerId server) {
+		ServerRecord known = this.servers.get(server);
+		if (known == null || this.lapsed.containsKey(server)) {
+			return;
+		}
+		long grace = this.regainedAt + LAPSE_GRACE - now;
+		if (grace > 0 && !known.leaving()) {
+			this.lapsed.put(server, now + grace);
+			log(BalanceEvent.RECORD_LAPSED, server, grace);
+		}
+		else {
+			drop(server);
+		}
+	}
+
+	private void drop(BackendServerId server) {
+		this.servers.remove(server);
+		this.effects.add(new FollowEffect.Apply(new Change.ServerRemoved(server)));
+	}
+
+	private void dropLapsed(long now) {
+		Iterator<Map.Entry<BackendServerId, Long>> all = this.lapsed.entrySet().iterator();
+		while (all.hasNext()) {
+			Map.Entry<BackendServerId, Long> entry = all.next();
+			if (entry.getValue() <= now) {
+				all.remove();
+				drop(entry.getKey());
+			}
+		}
+	}
+
+	private void configured(FleetConfiguration configuration) {
+		if (configuration.version() > this.version) {
+			this.version = configuration.version();
+			this.effects.add(new FollowEffect.Apply(new Change.Configured(configuration)));
+		}
+		else if (configuration.version() < this.version) {
+			log(BalanceEvent.CONFIGURATION_IGNORED, configuration.version(), this.version);
+		}
+	}
+
+	private void contact(long now, long seen) {
+		this.failures = 0;
+		this.retryAt = NO_TIMER;
+		if (this.lost) {
+			this.lost = false;
+			this.regainedAt = now;
+			log(BalanceEvent.STORE_REGAINED, now - this.lostAt, seen);
+		}
+	}
+
+	private void failed(long now, String reason) {
+		if (!this.lost) {
+			this.lost = true;
+			this.lostAt = now;
+			log(BalanceEvent.STORE_LOST, reason, this.revision);
+		}
+		long pause = Math.min(LONGEST_PAUSE, FIRST_PAUSE << Math.min(this.failures, 10));
+		this.failures++;
+		this.retryAt = now + pause / 2 + this.random.nextLong(pause / 2 + 1);
+	}
+
+	private void peerRevision(long now, long seen) {
+		this.peerRevision = Math.max(this.peerRevision, seen);
+		if (this.peerRevision > this.revision && this.revision >= 0 && this.lagCheckAt == NO_TIMER) {
+			this.lagCheckAt = Math.max(now + LAG_ACCEPTED, this.lastLagRead + LAG_PAUSE);
+		}
+	}
+
+	private void log(BalanceEvent event, Object... parameters) {
+		this.effects.add(new FollowEffect.Logged(event, List.of(parameters)));
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Following the published state: configuration and backend servers.
+ */
+@NullMarked
+package org.wigeonmast.balance.follow;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
@@ -0,0 +1,146 @@
+package org.wigeonmast.balance.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.manifest.WorkClass;
+
+/**
+ * Chooses the backend server of an attempt by the value that each one is expected to
+ * cost.
+ * <p>
+ * Thread safety: none. Costs are in parts of the value of a request. The choice is random
+ * with weights that fall exponentially with the cost, so that daemons that know the same
+ * do not all choose the same server. Invariant: suspicion alone never takes more than the
+ * spare share of a service's servers out of use.
+ */
+public final class ServerChoice {
+
+	/** Difference in cost at which a server is chosen about a third as often. */
+	private static final double SPREAD = 0.04;
+
+	/** Costs of sending a request to another failure domain of the region. */
+	private static final double OTHER_DOMAIN = 0.02;
+
+	private static final double OTHER_DOMAIN_LONG = 0.5;
+
+	/** Costs of sending a request to another region, over its narrow link. */
+	private static final double OTHER_REGION = 0.15;
+
+	private static final double OTHER_REGION_LONG = 3;
+
+	/** Cost of a failure that another server can make good. */
+	private static final double REPEATABLE_FAILURE = 0.5;
+
+	private static final double IN_FLIGHT = 0.25;
+
+	private static final double COLD = 0.15;
+
+	private static final double SHED = 0.4;
+
+	private static final double UNREACHABLE = 0.8;
+
+	/**
+	 * Highest probability of failing that is believed of servers beyond the spare ones.
+	 */
+	private static final double BELIEVED_OF_OTHERS = 0.3;
+
+	private final FailureDomain home;
+
+	private final double spareShare;
+
+	private final RandomGenerator random;
+
+	/**
+	 * Creates a choice.
+	 * @param home the failure domain of this daemon
+	 * @param servedShare the smallest share of a service's servers that stays in use
+	 * @param random the random numbers
+	 */
+	public ServerChoice(FailureDomain home, double servedShare, RandomGenerator random) {
+		this.home = home;
+		this.spareShare = 1 - servedShare;
+		this.random = random;
+	}
+
+	/**
+	 * Chooses a server.
+	 * @param now the monotonic time in milliseconds
+	 * @param servers the servers of the service
+	 * @param tried the servers that the request was sent to, which are not chosen again
+	 * @param workClass the class of the request
+	 * @param idempotent whether the request may be sent to another server after a failure
+	 * @return the server, or {@code null} if there is none
+	 */
+	public @Nullable ServerState choose(long now, Collection<ServerState> servers, Set<BackendServerId> tried,
+			WorkClass workClass, boolean idempotent) {
+		List<ServerState> usable = new ArrayList<>(servers.size());
+		for (ServerState server : servers) {
+			if (server.isUsable()) {
+				usable.add(server);
+			}
+		}
+		double threshold = believedThreshold(now, usable);
+		ServerState best = null;
+		double lowest = Double.POSITIVE_INFINITY;
+		for (ServerState server : usable) {
+			if (tried.contains(server.record().id())) {
+				continue;
+			}
+			double failing = server.suspicion().probability(now);
+			if (failing < threshold) {
+				failing = Math.min(failing, BELIEVED_OF_OTHERS);
+			}
+			double cost = failing * (idempotent ? REPEATABLE_FAILURE : 1) + distance(server, workClass)
+					+ condition(now, server) - SPREAD * noise();
+			if (cost < lowest) {
+				lowest = cost;
+				best = server;
+			}
+		}
+		return best;
+	}
+
+	/** Returns the probability from which suspicion counts in full. */
+	private double believedThreshold(long now, List<ServerState> usable) {
+		int spare = (int) Math.ceil(usable.size() * this.spareShare);
+		return usable.stream()
+			.map((server) -> server.suspicion().probability(now))
+			.sorted(Comparator.reverseOrder())
+			.limit(spare)
+			.reduce((first, second) -> second)
+			.orElse(1.0);
+	}
+
+	private double distance(ServerState server, WorkClass workClass) {
+		FailureDomain domain = server.record().failureDomain();
+		boolean large = workClass == WorkClass.LONG;
+		if (domain.equals(this.home)) {
+			return 0;
+		}
+		if (domain.region().equals(this.home.region())) {
+			return large ? OTHER_DOMAIN_LONG : OTHER_DOMAIN;
+		}
+		return large ? OTHER_REGION_LONG : OTHER_REGION;
+	}
+
+	private double condition(long now, ServerState server) {
+		double cost = IN_FLIGHT * server.inFlight() / Math.max(1, server.record().slots());
+		cost += server.isCold(now) ? COLD : 0;
+		cost += server.hasShed(now) ? SHED : 0;
+		return cost + (server.isUnreachable(now) ? UNREACHABLE : 0);
+	}
+
+	/** Returns a number of the Gumbel distribution, which makes the choice a soft one. */
+	private double noise() {
+		return -Math.log(-Math.log(Math.max(Double.MIN_NORMAL, this.random.nextDouble())));
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
@@ -0,0 +1,246 @@
+package org.wigeonmast.balance.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.wigeonmast.balance.BalanceEvent;
+import org.wigeonmast.core.Component;
+import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.Region;
+
+/**
+ * Keeps the live daemons of the fleet and spreads news among them.
+ * <p>
+ * Thread safety: none; the control thread owns it. Each daemon greets a few random peers
+ * each period and names others with the time since they were heard; a daemon that nobody
+ * heard for {@link #LOST_AFTER} is dropped. Nothing depends on agreement: a wrong roster
+ * costs a few datagrams or delays news. Invariant: the roster never holds this daemon.
+ */
+public final class PeerRoster implements Component<RosterInput, RosterEffect> {
+
+	/** Time in milliseconds without any sign of a daemon after which it is dropped. */
+	public static final long LOST_AFTER = 12_000;
+
+	/** Period in milliseconds of greetings. */
+	private static final long GREETING_PERIOD = 1000;
+
+	/** Period in milliseconds of greetings while no daemon is known. */
+	private static final long JOINING_PERIOD = 300;
+
+	private static final int GREETED_IN_REGION = 2;
+
+	/** Greetings between those to a daemon of any region. */
+	private static final int DISTANT_EVERY = 3;
+
+	private static final int NAMED = 12;
+
+	private static final int NAMED_TO_NEWCOMER = 100;
+
+	/** Age in milliseconds above which a daemon is not named to others. */
+	private static final long NAMED_BELOW = 6000;
+
+	private final Map<HostAddress, Known> peers = new HashMap<>();
+
+	private final List<RosterEffect> effects = new ArrayList<>();
+
+	private final RandomGenerator random;
+
+	private Peer self;
+
+	private List<HostAddress> seeds = List.of();
+
+	private long revision = -1;
+
+	private long nextGreeting = NO_TIMER;
+
+	private long greetings;
+
+	/**
+	 * Creates a roster.
+	 * @param address where this daemon receives datagrams
+	 * @param home where this daemon runs
+	 * @param random the random numbers
+	 */
+	public PeerRoster(HostAddress address, FailureDomain home, RandomGenerator random) {
+		this.self = new Peer(address, home, false);
+		this.random = random;
+	}
+
+	@Override
+	public List<RosterEffect> handle(long now, RosterInput input) {
+		switch (input) {
+			case RosterInput.Seeds changed -> {
+				this.seeds = changed.addresses()
+					.stream()
+					.filter((address) -> !address.equals(this.self.address()))
+					.toList();
+				greet(now);
+			}
+			case RosterInput.Received received -> received(now, received.message());
+			case RosterInput.Tell tell -> tell(tell);
+			case RosterInput.Revision known -> this.revision = known.revision();
+			case RosterInput.Leave _ -> {
+				this.self = new Peer(this.self.address(), this.self.failureDomain(), true);
+				this.peers.keySet().forEach((peer) -> send(peer, List.of(), List.of()));
+			}
+		}
+		return drain();
+	}
+
+	@Override
+	public List<RosterEffect> tick(long now) {
+		if (this.nextGreeting <= now) {
+			dropLost(now);
+			greet(now);
+		}
+		return drain();
+	}
+
+	@Override
+	public long nextTick() {
+		return this.nextGreeting;
+	}
+
+	private List<RosterEffect> drain() {
+		List<RosterEffect> drained = List.copyOf(this.effects);
+		this.effects.clear();
+		return drained;
+	}
+
+	private void greet(long now) {
+		this.nextGreeting = now + (this.peers.isEmpty() ? JOINING_PERIOD : GREETING_PERIOD);
+		this.greetings++;
+		if (this.peers.isEmpty()) {
+			this.seeds.forEach((seed) -> send(seed, List.of(), List.of()));
+			return;
+		}
+		List<HostAddress> near = new ArrayList<>();
+		List<HostAddress> all = new ArrayList<>(this.peers.keySet());
+		this.peers.values().forEach((known) -> {
+			if (isHome(known.peer.failureDomain().region())) {
+				near.add(known.peer.address());
+			}
+		});
+		for (int i = 0; i < GREETED_IN_REGION && !near.isEmpty(); i++) {
+			HostAddress chosen = near.remove(this.random.nextInt(near.size()));
+			send(chosen, named(now, NAMED), List.of());
+		}
+		if (this.greetings % DISTANT_EVERY == 0) {
+			send(all.get(this.random.nextInt(all.size())), named(now, NAMED), List.of());
+		}
+	}
+
+	private List<PeerMessage.Heard> named(long now, int most) {
+		List<PeerMessage.Heard> candidates = new ArrayList<>();
+		for (Known known : this.peers.values()) {
+			if (now - known.heardAt < NAMED_BELOW) {
+				candidates.add(new PeerMessage.Heard(known.peer, now - known.heardAt));
+			}
+		}
+		List<PeerMessage.Heard> chosen = new ArrayList<>();
+		while (chosen.size() < most && !candidates.isEmpty()) {
+			int index = this.random.nextInt(candidates.size());
+			chosen.add(candidates.get(index));
+			candidates.set(index, candidates.getLast());
+			candidates.removeLast();
+		}
+		return chosen;
+	}
+
+	private void received(long now, PeerMessage message) {
+		boolean newcomer = !this.peers.containsKey(message.sender().address());
+		int before = this.peers.size();
+		heard(message.sender(), now);
+		message.members().forEach((member) -> heard(member.peer(), now - member.age()));
+		if (newcomer && !message.sender().leaving() && message.members().isEmpty() && message.news().isEmpty()) {
+			send(message.sender().address(), named(now, NAMED_TO_NEWCOMER), List.of());
+		}
+		if (this.peers.size() != before) {
+			sizeChanged();
+		}
+		message.news().forEach((news) -> this.effects.add(new RosterEffect.News(news)));
+		if (message.revision() > this.revision) {
+			this.effects.add(new RosterEffect.PeerRevision(message.revision()));
+		}
+	}
+
+	private void heard(Peer peer, long at) {
+		if (peer.address().equals(this.self.address())) {
+			return;
+		}
+		if (peer.leaving()) {
+			this.peers.remove(peer.address());
+			return;
+		}
+		Known known = this.peers.get(peer.address());
+		if (known == null) {
+			this.peers.put(peer.address(), new Known(peer, at));
+			log(BalanceEvent.PEER_LIVE, peer.address(), peer.failureDomain(), this.peers.size() + 1);
+		}
+		else if (at > known.heardAt) {
+			known.heardAt = at;
+		}
+	}
+
+	private void dropLost(long now) {
+		int before = this.peers.size();
+		Iterator<Known> all = this.peers.values().iterator();
+		while (all.hasNext()) {
+			Known known = all.next();
+			if (now - known.heardAt > LOST_AFTER) {
+				all.remove();
+				log(BalanceEvent.PEER_LOST, known.peer.address(), known.peer.failureDomain(), now - known.heardAt,
+						this.peers.size() + 1);
+			}
+		}
+		if (this.peers.size() != before) {
+			sizeChanged();
+		}
+	}
+
+	private void tell(RosterInput.Tell tell) {
+		List<ServerNews> news = List.of(tell.news());
+		for (Known known : this.peers.values()) {
+			Region region = known.peer.failureDomain().region();
+			if (isHome(region) || region.equals(tell.region())) {
+				send(known.peer.address(), List.of(), news);
+			}
+		}
+	}
+
+	private boolean isHome(Region region) {
+		return region.equals(this.self.failureDomain().region());
+	}
+
+	private void send(HostAddress receiver, List<PeerMessage.Heard> members, List<ServerNews> news) {
+		this.effects.add(new RosterEffect.Send(receiver, new PeerMessage(this.self, this.revision, members, news)));
+	}
+
+	private void sizeChanged() {
+		this.effects.add(new RosterEffect.SizeChanged(this.peers.size() + 1));
+	}
+
+	private void log(BalanceEvent event, Object... parameters) {
+		this.effects.add(new RosterEffect.Logged(event, List.of(parameters)));
+	}
+
+	/** A peer and when it was last heard, by this daemon or another one. */
+	private static final class Known {
+
+		private final Peer peer;
+
+		private long heardAt;
+
+		private Known(Peer peer, long heardAt) {
+			this.peer = peer;
+			this.heardAt = heardAt;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterEffect.java
@@ -0,0 +1,57 @@
+package org.wigeonmast.balance.peer;
+
+import java.util.List;
+
+import org.wigeonmast.balance.BalanceEvent;
+import org.wigeonmast.core.HostAddress;
+
+/**
+ * An effect that the {@link PeerRoster} asks its caller to carry out.
+ * <p>
+ * Thread safety: immutable.
+ */
+public sealed interface RosterEffect {
+
+	/**
+	 * Sends a datagram, which may get lost.
+	 *
+	 * @param receiver the receiver
+	 * @param message the message
+	 */
+	record Send(HostAddress receiver, PeerMessage message) implements RosterEffect {
+	}
+
+	/**
+	 * The number of live daemons changed.
+	 *
+	 * @param daemons the number with this daemon
+	 */
+	record SizeChanged(int daemons) implements RosterEffect {
+	}
+
+	/**
+	 * A peer told what it saw.
+	 *
+	 * @param news the news
+	 */
+	record News(ServerNews news) implements RosterEffect {
+	}
+
+	/**
+	 * A peer knows a revision of the published state.
+	 *
+	 * @param revision the revision
+	 */
+	record PeerRevision(long revision) implements RosterEffect {
+	}
+
+	/**
+	 * Logs an event.
+	 *
+	 * @param event the event
+	 * @param parameters the values for the event's text
+	 */
+	record Logged(BalanceEvent event, List<Object> parameters) implements RosterEffect {
+	}
+
+}
--- a/wigeonmast-core/src/main/java/org/wigeonmast/core/EventLog.java
+++ b/wigeonmast-core/src/main/java/org/wigeonmast/core/EventLog.java
@@ -18,6 +18,8 @@
 
 	private static final String MESSAGE = "message";
 
+	private static final String REQUEST = "request";
+
 	private final Logger logger;
 
 	/**
@@ -34,12 +36,26 @@
 	 * @param parameters the values for the event's text, in order
 	 */
 	public void log(EventDefinition event, Object... parameters) {
-		if (!this.logger.isEnabled(event.level())) {
-			return;
+		if (this.logger.isEnabled(event.level())) {
+			this.logger.log(event.level(), message(event, parameters));
+		}
+	}
+
+	/**
+	 * Logs an event that concerns a request.
+	 * @param event the event
+	 * @param request the identifier that the caller of the request sees
+	 * @param parameters the values for the event's text, in order
+	 */
+	public void logRequest(EventDefinition event, String request, Object... parameters) {
+		if (this.logger.isEnabled(event.level())) {
+			this.logger.log(event.level(), message(event, parameters).with(REQUEST, request));
 		}
+	}
+
+	private static StringMapMessage message(EventDefinition event, Object... parameters) {
 		String message = ParameterizedMessage.format(event.text(), parameters);
-		this.logger.log(event.level(),
-				new StringMapMessage().with(EVENT, event.number()).with(NAME, event.toString()).with(MESSAGE, message));
+		return new StringMapMessage().with(EVENT, event.number()).with(NAME, event.toString()).with(MESSAGE, message);
 	}
 
 }
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/DaemonEvent.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/DaemonEvent.java
@@ -43,7 +43,14 @@
 	START_FAILED(1009, Level.FATAL, "daemon could not start: {}", "Correct what the message names and start again."),
 
 	/** A peer's address is not known. */
-	PEER_UNKNOWN(1010, Level.DEBUG, "message for {} was dropped because its address is not known", "None.");
+	PEER_UNKNOWN(1010, Level.DEBUG, "message for {} was dropped because its address is not known", "None."),
+
+	/** The settings were read again. */
+	RELOADED(1011, Level.INFO, "settings read again: seeds {}", "None."),
+
+	/** The settings could not be read again. */
+	RELOAD_FAILED(1012, Level.ERROR, "settings could not be read again: {}; the former ones stay in force",
+			"Correct the settings file.");
 
 	private final int number;
 
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -0,0 +1,314 @@
+package org.wigeonmast.daemon.balanced;
+
+import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.balance.BalanceCoordinator;
+import org.wigeonmast.balance.BalanceEffect;
+import org.wigeonmast.balance.BalanceInput;
+import org.wigeonmast.balance.CallerLimits;
+import org.wigeonmast.balance.FleetConfiguration;
+import org.wigeonmast.balance.RoutingRule;
+import org.wigeonmast.balance.follow.Change;
+import org.wigeonmast.balance.follow.FollowEffect;
+import org.wigeonmast.balance.follow.FollowInput;
+import org.wigeonmast.balance.follow.StateFollower;
+import org.wigeonmast.balance.peer.PeerRoster;
+import org.wigeonmast.balance.peer.RosterEffect;
+import org.wigeonmast.balance.peer.RosterInput;
+import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.MillisecondClock;
+import org.wigeonmast.core.RequestOutcome;
+import org.wigeonmast.core.WigeonmastException;
+import org.wigeonmast.daemon.DaemonEvent;
+import org.wigeonmast.daemon.internal.ComponentDriver;
+import org.wigeonmast.daemon.internal.ControlThread;
+import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.proxy.ProxyConfiguration;
+import org.wigeonmast.proxy.ProxyServer;
+import org.wigeonmast.proxy.RequestRouter;
+
+/**
+ * A daemon of a fleet without owners: connects its decisions with proxy, published state
+ * and peers, and stops them in order.
+ * <p>
+ * Thread safety: usable from any thread. Invariant: a daemon that is stopping, or that
+ * does not know the published state, is not ready.
+ */
+public final class BalancedDaemon implements AutoCloseable {
+
+	private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
+
+	/** Largest response in bytes that is received as a whole before it is relayed. */
+	private static final int HELD_RESPONSE = 1 << 20;
+
+	/** Time in milliseconds in which a connection to a backend server must be made. */
+	private static final long CONNECT_TIMEOUT = 250;
+
+	/** Time in milliseconds after which an idle connection to a server is closed. */
+	private static final long BACKEND_IDLE = 8000;
+
+	/** Age in milliseconds up to which an idle connection carries non-idempotent work. */
+	private static final long PROVEN = 6000;
+
+	/** Time in milliseconds that callers are accepted after the signal to stop. */
+	private static final long ACCEPT_WHILE_STOPPING = 3000;
+
+	/** Time in milliseconds after that signal at which idle connections are closed. */
+	private static final long IDLE_WHILE_STOPPING = 2500;
+
+	/** Time in milliseconds between the last forced end and the limit of a stop. */
+	private static final long STOP_MARGIN = 300;
+
+	private static final long RETRY_AFTER = 300;
+
+	private static final CallerLimits LIMITS_BEFORE_CONFIGURATION = new CallerLimits(16 * 1024, 64L << 20, 3000,
+			15_000);
+
+	private final EventLog log = new EventLog(BalancedDaemon.class);
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+	private final AtomicBoolean stopping = new AtomicBoolean();
+
+	private final AtomicBoolean closed = new AtomicBoolean();
+
+	private final BalancedSettings settings;
+
+	private final EventLoopGroup group;
+
+	private final PublishedState state;
+
+	private final ControlThread control;
+
+	private final ProxyServer proxy;
+
+	private final PeerDatagrams datagrams;
+
+	private final StateFollower follower;
+
+	private final ComponentDriver<BalanceInput, BalanceEffect> balance;
+
+	private final ComponentDriver<FollowInput, FollowEffect> following;
+
+	private final ComponentDriver<RosterInput, RosterEffect> roster;
+
+	private volatile @Nullable FleetConfiguration configuration;
+
+	private volatile boolean ready;
+
+	private long callNumber;
+
+	/**
+	 * Creates a daemon that does not listen yet.
+	 * @param settings the settings
+	 * @param clock the clock
+	 * @param group the event loops for everything but the traffic
+	 * @param state the published state
+	 */
+	public BalancedDaemon(BalancedSettings settings, MillisecondClock clock, EventLoopGroup group,
+			PublishedState state) {
+		this.settings = settings;
+		this.group = group;
+		this.state = state;
+		this.control = new ControlThread(clock);
+		RandomGenerator random = RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(new SecureRandom().nextLong());
+		this.follower = new StateFollower(random);
+		this.balance = new ComponentDriver<>(this.control,
+				new BalanceCoordinator(settings.home(), settings.balance(), random), this::carryOut);
+		this.following = new ComponentDriver<>(this.control, this.follower, this::carryOut);
+		this.roster = new ComponentDriver<>(this.control, new PeerRoster(settings.peers(), settings.home(), random),
+				this::carryOut);
+		this.proxy = new ProxyServer(proxyConfiguration(LIMITS_BEFORE_CONFIGURATION), clock, this::route,
+				this::requestEvent, this.metrics);
+		this.datagrams = new PeerDatagrams(group, settings.peers(),
+				(message) -> this.control.execute(() -> this.roster.handle(new RosterInput.Received(message))));
+	}
+
+	/**
+	 * Starts to listen and to follow the published state.
+	 * @throws WigeonmastException if an address cannot be bound
+	 */
+	public void start() throws WigeonmastException {
+		this.proxy.start();
+		this.datagrams.start();
+		StatusServer.listen(this.group, this.settings.readiness(), this::status);
+		StatusServer.listen(this.group, this.settings.metrics(), this::status);
+		this.control.execute(() -> {
+			this.following.handle(new FollowInput.Started());
+			this.roster.handle(new RosterInput.Seeds(this.settings.seeds()));
+		});
+		this.log.log(DaemonEvent.STARTED, this.settings.name(), this.settings.callers(), this.settings.peers(),
+				this.settings.readiness());
+	}
+
+	/**
+	 * Takes changed seeds.
+	 * @param changed the settings
+	 */
+	public void reload(BalancedSettings changed) {
+		this.log.log(DaemonEvent.RELOADED, changed.seeds());
+		this.control.execute(() -> this.roster.handle(new RosterInput.Seeds(changed.seeds())));
+	}
+
+	/**
+	 * Returns whether the daemon is ready for callers.
+	 * @return whether it is
+	 */
+	public boolean isReady() {
+		return this.ready && !this.stopping.get();
+	}
+
+	/**
+	 * Stops gracefully: readiness fails at once, requests that still come are served, and
+	 * the daemon ends when all are answered.
+	 * @return completes when the daemon has stopped
+	 */
+	public CompletableFuture<Void> stop() {
+		if (this.stopping.compareAndSet(false, true)) {
+			this.log.log(DaemonEvent.STOPPING, 0);
+			this.control.execute(() -> this.roster.handle(new RosterInput.Leave()));
+			CompletableFuture<Void> drained = this.proxy.drain(ACCEPT_WHILE_STOPPING);
+			drained.orTimeout(this.settings.stopping() - STOP_MARGIN, TimeUnit.MILLISECONDS)
+				.whenComplete((ignored, failure) -> endStop());
+		}
+		return this.stopped;
+	}
+
+	@Override
+	public void close() {
+		if (this.closed.compareAndSet(false, true)) {
+			this.proxy.close();
+			this.state.close();
+			this.datagrams.close();
+			this.control.close();
+		}
+	}
+
+	private void endStop() {
+		this.log.log(DaemonEvent.STOPPED);
+		this.stopped.complete(null);
+	}
+
+	private RequestRouter.Result route(String host, String method, String path) {
+		FleetConfiguration inForce = this.configuration;
+		if (inForce == null) {
+			return new RequestRouter.Result.Unconfigured("No configuration is known yet");
+		}
+		RoutingRule rule = inForce.rule(host, path);
+		return (rule != null) ? new RequestRouter.Result.Found(rule.choose(ThreadLocalRandom.current().nextDouble()))
+				: new RequestRouter.Result.Unknown();
+	}
+
+	private void requestEvent(RequestEvent event) {
+		this.control.execute(() -> this.balance.handle(new BalanceInput.Proxied(event)));
+	}
+
+	private StatusServer.Answer status(String path) {
+		if (path.equals(this.settings.readinessPath())) {
+			return isReady() ? new StatusServer.Answer(HttpResponseStatus.OK, "ready\n")
+					: new StatusServer.Answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
+		}
+		return new StatusServer.Answer(HttpResponseStatus.OK, MetricsText.write(this.metrics));
+	}
+
+	private void carryOut(BalanceEffect effect) {
+		switch (effect) {
+			case BalanceEffect.Exchange exchange -> this.proxy.execute(exchange.command());
+			case BalanceEffect.Tell tell -> this.roster.handle(new RosterInput.Tell(tell.news(), tell.region()));
+			case BalanceEffect.Ended ended -> count(ended);
+			case BalanceEffect.Logged logged -> {
+				if (logged.request().isEmpty()) {
+					this.log.log(logged.event(), logged.parameters().toArray());
+				}
+				else {
+					this.log.logRequest(logged.event(), logged.request(), logged.parameters().toArray());
+				}
+			}
+		}
+	}
+
+	private void carryOut(FollowEffect effect) {
+		switch (effect) {
+			case FollowEffect.ReadState _ -> this.state.read(callResult());
+			case FollowEffect.Watch watch -> this.state.watch(watch.after(), callResult());
+			case FollowEffect.Apply apply -> apply(apply.change());
+			case FollowEffect.Complete _ -> this.log.log(DaemonEvent.READY, this.follower.revision());
+			case FollowEffect.Logged logged -> this.log.log(logged.event(), logged.parameters().toArray());
+		}
+		this.ready = this.follower.isComplete();
+	}
+
+	private Consumer<FollowInput> callResult() {
+		long number = ++this.callNumber;
+		return (result) -> this.control.execute(() -> {
+			if (number == this.callNumber) {
+				this.following.handle(result);
+				this.roster.handle(new RosterInput.Revision(this.follower.revision()));
+			}
+		});
+	}
+
+	private void apply(Change change) {
+		switch (change) {
+			case Change.ServerWritten written -> this.balance.handle(new BalanceInput.ServerChanged(written.server()));
+			case Change.ServerRemoved removed -> this.balance.handle(new BalanceInput.ServerGone(removed.server()));
+			case Change.Configured configured -> {
+				this.balance.handle(new BalanceInput.Configured(configured.configuration()));
+				this.proxy.reconfigure(proxyConfiguration(configured.configuration().limits()));
+				this.configuration = configured.configuration();
+			}
+		}
+	}
+
+	private void carryOut(RosterEffect effect) {
+		switch (effect) {
+			case RosterEffect.Send send -> this.datagrams.send(send.receiver(), send.message());
+			case RosterEffect.SizeChanged changed -> {
+				this.balance.handle(new BalanceInput.FleetSize(changed.daemons()));
+				this.proxy.setLiveDaemons(changed::daemons);
+			}
+			case RosterEffect.News news -> this.balance.handle(new BalanceInput.Told(news.news()));
+			case RosterEffect.PeerRevision peer -> this.following.handle(new FollowInput.PeerRevision(peer.revision()));
+			case RosterEffect.Logged logged -> this.log.log(logged.event(), logged.parameters().toArray());
+		}
+	}
+
+	private void count(BalanceEffect.Ended ended) {
+		String outcome = switch (ended.outcome()) {
+			case RequestOutcome.Answered answered -> "answered." + answered.status() / 100 + "xx";
+			case RequestOutcome.NotRun _ -> "not-run";
+			case RequestOutcome.Unknown _ -> "unknown";
+		};
+		Histogram durations = this.metrics.histogram("balance." + ended.service() + '.' + outcome);
+		durations.update(ended.milliseconds());
+	}
+
+	private ProxyConfiguration proxyConfiguration(CallerLimits limits) {
+		ProxyConfiguration.Limits sizes = ProxyConfiguration.Limits.DEFAULTS;
+		ProxyConfiguration.Timeouts times = ProxyConfiguration.Timeouts.DEFAULTS;
+		ProxyConfiguration.Limits chosenSizes = new ProxyConfiguration.Limits(sizes.requestLine(), limits.headBytes(),
+				limits.bodyBytes(), sizes.replayableBody(), sizes.replayableBodies(), sizes.unsentBytes(),
+				HELD_RESPONSE);
+		ProxyConfiguration.Timeouts chosenTimes = new ProxyConfiguration.Timeouts(limits.headTimeout(), times.body(),
+				limits.idleTimeout(), times.request(), CONNECT_TIMEOUT, BACKEND_IDLE, PROVEN, IDLE_WHILE_STOPPING,
+				RETRY_AFTER);
+		return new ProxyConfiguration(this.settings.callers(), this.settings.name(),
+				ProxyConfiguration.defaults(this.settings.callers()).callerConnections(), chosenSizes, chosenTimes,
+				this.settings.headers());
+	}
+
+}
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/MetricsText.java
@@ -0,0 +1,60 @@
+package org.wigeonmast.daemon.balanced;
+
+import java.util.Locale;
+import java.util.Map;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+
+/**
+ * Writes metrics as text, one line for each figure.
+ * <p>
+ * Thread safety: stateless.
+ */
+final class MetricsText {
+
+	private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+
+	private MetricsText() {
+	}
+
+	/**
+	 * Writes all metrics.
+	 * @param registry the metrics
+	 * @return the text
+	 */
+	static String write(MetricRegistry registry) {
+		StringBuilder text = new StringBuilder();
+		for (Map.Entry<String, Counter> entry : registry.getCounters().entrySet()) {
+			line(text, entry.getKey(), entry.getValue().getCount());
+		}
+		for (Map.Entry<String, Meter> entry : registry.getMeters().entrySet()) {
+			line(text, entry.getKey(), entry.getValue().getCount());
+		}
+		for (Map.Entry<String, Histogram> entry : registry.getHistograms().entrySet()) {
+			line(text, entry.getKey() + ".count", entry.getValue().getCount());
+			quantiles(text, entry.getKey(), entry.getValue().getSnapshot(), 1);
+		}
+		for (Map.Entry<String, Timer> entry : registry.getTimers().entrySet()) {
+			line(text, entry.getKey() + ".count", entry.getValue().getCount());
+			quantiles(text, entry.getKey(), entry.getValue().getSnapshot(), NANOSECONDS_PER_MILLISECOND);
+		}
+		return text.toString();
+	}
+
+	private static void quantiles(StringBuilder text, String name, Snapshot snapshot, double unit) {
+		line(text, name + ".p50_ms", snapshot.getMedian() / unit);
+		line(text, name + ".p99_ms", snapshot.get99thPercentile() / unit);
+		line(text, name + ".max_ms", snapshot.getMax() / unit);
+	}
+
+	private static void line(StringBuilder text, String name, double value) {
+		String plain = name.replace('.', '_').replace('-', '_');
+		text.append(plain).append(' ').append(String.format(Locale.ROOT, "%.3f", value)).append('\n');
+	}
+
+}
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/RequestDescription.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/RequestDescription.java
@@ -4,6 +4,7 @@
 import org.wigeonmast.core.CallerId;
 import org.wigeonmast.core.RequestId;
 import org.wigeonmast.core.ServiceName;
+import org.wigeonmast.manifest.RoutePlan;
 import org.wigeonmast.manifest.WorkClass;
 
 /**
@@ -21,7 +22,30 @@
  * again
  * @param key the idempotency key, if the caller sent one
  * @param declaredAttempt the caller's attempt number, 0 if not declared
+ * @param shownId the identifier that the caller sees
+ * @param plan what the operators want of requests of the route
  */
 public record RequestDescription(RequestId id, CallerId caller, ServiceName service, WorkClass workClass,
-		boolean idempotent, long deadline, boolean replayable, @Nullable String key, int declaredAttempt) {
+		boolean idempotent, long deadline, boolean replayable, @Nullable String key, int declaredAttempt,
+		String shownId, RoutePlan plan) {
+
+	/**
+	 * Creates a description of a request whose route has no plan.
+	 * @param id the identifier, which the caller sees too
+	 * @param caller the caller
+	 * @param service the service
+	 * @param workClass the class of work
+	 * @param idempotent whether the request may run more than once
+	 * @param deadline the monotonic time in milliseconds after which the answer is of no
+	 * use
+	 * @param replayable whether the whole body is held in memory
+	 * @param key the idempotency key, if the caller sent one
+	 * @param declaredAttempt the caller's attempt number, 0 if not declared
+	 */
+	public RequestDescription(RequestId id, CallerId caller, ServiceName service, WorkClass workClass,
+			boolean idempotent, long deadline, boolean replayable, @Nullable String key, int declaredAttempt) {
+		this(id, caller, service, workClass, idempotent, deadline, replayable, key, declaredAttempt, id.value(),
+				RoutePlan.NONE);
+	}
+
 }
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/HeaderVocabulary.java
@@ -0,0 +1,67 @@
+package org.wigeonmast.proxy;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Names of the header fields that the proxy gives a meaning to, and what they promise.
+ * <p>
+ * Thread safety: immutable. A name that is {@code null} is neither read nor written.
+ *
+ * @param requestId identifier of a request, returned to the caller
+ * @param timeLeft time left for the request, in whole milliseconds
+ * @param caller identity of the caller
+ * @param idempotencyKey key under which a caller repeats a request
+ * @param attempt number of the caller's attempt under one key
+ * @param execution in a response: whether the request was run
+ * @param notRunValue the value of {@code execution} for a request that was not run;
+ * {@code null} if the presence of the field says so, with any status
+ * @param serverState state of a backend server, in its responses
+ * @param expectedServer in a request: the identifier of the only backend server that may
+ * run it; another one answers 421 and does not run it
+ * @param answerProof in a response: the field that each complete success of a backend
+ * server carries
+ * @param echoed whether backend servers repeat the identifier of the request in its
+ * response, so that a response to another request is recognised
+ * @param traced whether the proxy adds itself to the Via field
+ * @param fractionalRetryAfter whether callers understand fractions of seconds in
+ * Retry-After
+ */
+public record HeaderVocabulary(String requestId, String timeLeft, @Nullable String caller,
+		@Nullable String idempotencyKey, @Nullable String attempt, String execution, @Nullable String notRunValue,
+		@Nullable String serverState, @Nullable String expectedServer, @Nullable String answerProof, boolean echoed,
+		boolean traced, boolean fractionalRetryAfter) {
+
+	/** The product's own names. */
+	public static final HeaderVocabulary DEFAULTS = new HeaderVocabulary(ProxyHeaders.REQUEST_ID,
+			ProxyHeaders.REQUEST_TIMEOUT, ProxyHeaders.CALLER_ID, ProxyHeaders.IDEMPOTENCY_KEY,
+			ProxyHeaders.REQUEST_ATTEMPT, ProxyHeaders.REQUEST_EXECUTION, ProxyHeaders.NOT_RUN,
+			ProxyHeaders.SERVER_STATE, null, null, false, true, false);
+
+	/**
+	 * Returns the value of a field.
+	 * @param headers the header fields
+	 * @param name the name of the field, if the vocabulary has it
+	 * @return the first value, or {@code null}
+	 */
+	public static @Nullable String value(HttpHeaders headers, @Nullable String name) {
+		return (name != null) ? headers.get(name) : null;
+	}
+
+	/**
+	 * Returns whether a response states that the request was not run and never will be.
+	 * @param response the response head
+	 * @return whether it states so
+	 */
+	public boolean statesNotRun(HttpResponse response) {
+		String value = response.headers().get(this.execution);
+		if (this.notRunValue != null) {
+			return HttpResponseStatus.SERVICE_UNAVAILABLE.equals(response.status()) && this.notRunValue.equals(value);
+		}
+		return value != null
+				|| (this.expectedServer != null && HttpResponseStatus.MISDIRECTED_REQUEST.equals(response.status()));
+	}
+
+}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyConfiguration.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyConfiguration.java
@@ -14,12 +14,26 @@
  * are closed at once
  * @param limits the limits on messages
  * @param timeouts the timeouts
+ * @param headers the names of header fields
  */
 public record ProxyConfiguration(HostAddress bindAddress, String daemonName, int callerConnections, Limits limits,
-		Timeouts timeouts) {
+		Timeouts timeouts, HeaderVocabulary headers) {
 
 	private static final int DEFAULT_CALLER_CONNECTIONS = 10_000;
 
+	/**
+	 * Creates a configuration with the product's own names of header fields.
+	 * @param bindAddress where callers connect
+	 * @param daemonName the name of the daemon
+	 * @param callerConnections the greatest number of connections of callers
+	 * @param limits the limits on messages
+	 * @param timeouts the timeouts
+	 */
+	public ProxyConfiguration(HostAddress bindAddress, String daemonName, int callerConnections, Limits limits,
+			Timeouts timeouts) {
+		this(bindAddress, daemonName, callerConnections, limits, timeouts, HeaderVocabulary.DEFAULTS);
+	}
+
 	/**
 	 * Returns the configuration that needs no tuning.
 	 * @param bindAddress where callers connect
@@ -41,13 +55,31 @@
 	 * is used up, bodies are streamed and not replayable
 	 * @param unsentBytes the bytes waiting in one connection above which the other side
 	 * is not read
+	 * @param heldResponse the largest response body that is received as a whole before
+	 * any of it is relayed, so that a response that breaks off can be replaced; 0 relays
+	 * each piece at once
 	 */
 	public record Limits(int requestLine, int headers, long body, int replayableBody, long replayableBodies,
-			int unsentBytes) {
+			int unsentBytes, int heldResponse) {
+
+		/**
+		 * Creates limits that relay each piece of a response at once.
+		 * @param requestLine the longest request line or status line
+		 * @param headers the greatest size of all header fields of a message
+		 * @param body the largest request body
+		 * @param replayableBody the largest request body that is held in memory
+		 * @param replayableBodies the memory for held request bodies of all requests
+		 * @param unsentBytes the bytes waiting in one connection above which the other
+		 * side is not read
+		 */
+		public Limits(int requestLine, int headers, long body, int replayableBody, long replayableBodies,
+				int unsentBytes) {
+			this(requestLine, headers, body, replayableBody, replayableBodies, unsentBytes, 0);
+		}
 
 		/** The limits that need no tuning. */
 		public static final Limits DEFAULTS = new Limits(8 * 1024, 16 * 1024, 1024L * 1024 * 1024, 64 * 1024,
-				32L * 1024 * 1024, 64 * 1024);
+				32L * 1024 * 1024, 64 * 1024, 0);
 
 	}
 
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyEvent.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyEvent.java
@@ -44,6 +44,10 @@
 			"Request {} was refused as not run although it may have run; the caller was told unknown",
 			"This is an error in the program; report it with the log around this entry."),
 
+	/** A response to another request was skipped. */
+	FOREIGN_RESPONSE(810, Level.WARN, "request {} at {}: skipped a response to another request",
+			"Look at the backend server, which answered twice or late; the connection is not used again."),
+
 	/** An error in the program ended a connection. */
 	UNEXPECTED_ERROR(809, Level.ERROR, "Closed a connection because of an unexpected error: {}",
 			"This is an error in the program; report it with the log around this entry.");
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -61,7 +61,7 @@
 
 	private static final long CLOSE_TIMEOUT_MILLISECONDS = 2000;
 
-	private final ProxyConfiguration configuration;
+	private volatile ProxyConfiguration configuration;
 
 	private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("wigeonmast-traffic"));
 
@@ -97,8 +97,21 @@
 	 */
 	public ProxyServer(ProxyConfiguration configuration, MillisecondClock clock, Supplier<@Nullable Manifest> manifests,
 			Consumer<RequestEvent> events, MetricRegistry metrics) {
+		this(configuration, clock, RequestRouter.byManifest(manifests), events, metrics);
+	}
+
+	/**
+	 * Creates a proxy that does not listen yet.
+	 * @param configuration the configuration
+	 * @param clock the clock, which must be the one that dispatch uses for deadlines
+	 * @param router finds the routes of requests
+	 * @param events takes the events on the traffic thread
+	 * @param metrics the registry for the metrics, whose names begin with {@code proxy.}
+	 */
+	public ProxyServer(ProxyConfiguration configuration, MillisecondClock clock, RequestRouter router,
+			Consumer<RequestEvent> events, MetricRegistry metrics) {
 		this.configuration = configuration;
-		this.context = new ProxyContext(configuration, clock, manifests, events, () -> this.liveDaemons.getAsInt(),
+		this.context = new ProxyContext(configuration, clock, router, events, () -> this.liveDaemons.getAsInt(),
 				this.eventLoop, new ProxyMetrics(metrics));
 	}
 
@@ -144,6 +157,15 @@
 		}
 	}
 
+	/**
+	 * Changes limits and timeouts, for requests that are accepted from now on.
+	 * @param changed the configuration, with the same address
+	 */
+	public void reconfigure(ProxyConfiguration changed) {
+		this.configuration = changed;
+		this.eventLoop.execute(() -> this.context.reconfigure(changed));
+	}
+
 	/**
 	 * Carries out a command. Commands for requests that have ended are ignored.
 	 * @param command the command
@@ -165,8 +187,18 @@
 	 * @return completes when all connections of callers are closed
 	 */
 	public CompletableFuture<Void> drain() {
+		return drain(0);
+	}
+
+	/**
+	 * Finishes all requests as {@link #drain()} does, but accepts connections for some
+	 * time at least, in which a load balancer that was not told before still sends some.
+	 * @param accepting the time in milliseconds
+	 * @return completes when all connections of callers are closed
+	 */
+	public CompletableFuture<Void> drain(long accepting) {
 		CompletableFuture<Void> drained = new CompletableFuture<>();
-		this.eventLoop.execute(() -> this.context.drain(this::closeListener, drained));
+		this.eventLoop.execute(() -> this.context.drain(this::closeListener, drained, accepting));
 		return drained;
 	}
 
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/RequestRouter.java
@@ -0,0 +1,67 @@
+package org.wigeonmast.proxy;
+
+import java.util.function.Supplier;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonmast.manifest.Manifest;
+import org.wigeonmast.manifest.Route;
+
+/**
+ * Finds the route of a request.
+ * <p>
+ * Thread safety: implementations are usable from any thread.
+ */
+@FunctionalInterface
+public interface RequestRouter {
+
+	/**
+	 * Finds the route of a request.
+	 * @param host the value of the Host field
+	 * @param method the HTTP method
+	 * @param path the path without query
+	 * @return what was found
+	 */
+	Result route(String host, String method, String path);
+
+	/**
+	 * Returns a router by the manifest in force.
+	 * @param manifests supplies the manifest in force, or {@code null}
+	 * @return the router
+	 */
+	static RequestRouter byManifest(Supplier<@Nullable Manifest> manifests) {
+		return (host, method, path) -> {
+			Manifest manifest = manifests.get();
+			if (manifest == null) {
+				return new Result.Unconfigured("No manifest is in force yet");
+			}
+			Route route = manifest.route(method, path);
+			return (route != null) ? new Result.Found(route) : new Result.Unknown();
+		};
+	}
+
+	/** What a router found. */
+	sealed interface Result {
+
+		/**
+		 * The route of the request.
+		 *
+		 * @param route the route
+		 */
+		record Found(Route route) implements Result {
+		}
+
+		/** No route matches. */
+		record Unknown() implements Result {
+		}
+
+		/**
+		 * There is nothing to route by yet.
+		 *
+		 * @param reason the reason for the caller
+		 */
+		record Unconfigured(String reason) implements Result {
+		}
+
+	}
+
+}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -2,8 +2,11 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -25,8 +28,11 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.EventLog;
 import org.wigeonmast.dispatch.AttemptReport;
 import org.wigeonmast.dispatch.ExchangeCommand;
+import org.wigeonmast.proxy.HeaderVocabulary;
+import org.wigeonmast.proxy.ProxyEvent;
 import org.wigeonmast.proxy.ProxyHeaders;
 
 /**
@@ -39,6 +45,15 @@
  */
 final class Attempt {
 
+	private static final EventLog LOG = new EventLog(Attempt.class);
+
+	private static final Pattern IDLE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
+
+	private static final long MILLISECONDS_PER_SECOND = 1000;
+
+	/** Time before the end of a server's idle timeout when its connection is not used. */
+	private static final long IDLE_MARGIN_MILLISECONDS = 1500;
+
 	private final ProxyContext context;
 
 	private final Exchange exchange;
@@ -59,6 +74,14 @@
 
 	private boolean paused;
 
+	private boolean foreign;
+
+	private boolean skipping;
+
+	private boolean complete;
+
+	private @Nullable ByteBuf body;
+
 	private long sentAt;
 
 	private long headAt;
@@ -125,7 +148,11 @@
 		}
 		HttpRequest request = this.exchange.head().request();
 		HttpHeaders headers = request.headers();
-		headers.set(ProxyHeaders.REQUEST_TIMEOUT, Long.toString(remaining));
+		headers.set(names().timeLeft(), Long.toString(remaining));
+		String expectedServer = names().expectedServer();
+		if (expectedServer != null) {
+			headers.set(expectedServer, server().value());
+		}
 		RequestBody body = this.exchange.body();
 		this.state = State.AWAITING;
 		this.sent = true;
@@ -216,17 +243,87 @@
 		else if (!isFramingSound(head.headers())) {
 			fail("The response states its length ambiguously", false);
 		}
+		else if (isForeign(head)) {
+			// A late or extra response to another request; the own one comes behind it.
+			LOG.log(ProxyEvent.FOREIGN_RESPONSE, this.exchange.head().shownId(), server());
+			this.foreign = true;
+			this.skipping = true;
+			ask();
+		}
+		else {
+			acceptHead(head);
+		}
+	}
+
+	private boolean isForeign(HttpResponse head) {
+		String id = head.headers().get(names().requestId());
+		return names().echoed() && id != null && !id.equals(this.exchange.head().shownId());
+	}
+
+	private void acceptHead(HttpResponse head) {
+		this.response = head;
+		this.headAt = System.nanoTime();
+		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreign;
+		this.notRun = names().statesNotRun(head);
+		if (!this.notRun && !isAnswer(head)) {
+			fail("The response " + head.status().code() + " is not the server's answer to this request", false);
+			return;
+		}
+		noteIdleLimit(head);
+		if (this.context.configuration().limits().heldResponse() > 0) {
+			this.state = State.HOLDING;
+			ask();
+		}
 		else {
-			this.response = head;
-			this.state = State.HELD;
-			this.headAt = System.nanoTime();
-			this.reusable = HttpUtil.isKeepAlive(head);
-			int status = head.status().code();
-			boolean shed = status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-			this.notRun = shed && ProxyHeaders.NOT_RUN.equals(head.headers().get(ProxyHeaders.REQUEST_EXECUTION));
-			boolean leaving = ProxyHeaders.LEAVING.equals(head.headers().get(ProxyHeaders.SERVER_STATE))
-					|| (shed && !this.reusable);
-			this.exchange.report(this, new AttemptReport.ResponseStarted(status, this.notRun, leaving));
+			reportHead(head);
+		}
+	}
+
+	private boolean isAnswer(HttpResponse head) {
+		HttpHeaders headers = head.headers();
+		if (!names().echoed()) {
+			return true;
+		}
+		boolean proven = head.status().codeClass() != HttpStatusClass.SUCCESS
+				|| HeaderVocabulary.value(headers, names().answerProof()) != null;
+		return proven && headers.contains(names().requestId()) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
+	}
+
+	private void noteIdleLimit(HttpResponse head) {
+		String keepAlive = head.headers().get("Keep-Alive");
+		Matcher stated = (keepAlive != null) ? IDLE_SECONDS.matcher(keepAlive) : null;
+		if (stated != null && stated.find() && this.connection != null) {
+			long limit = Long.parseLong(stated.group(1)) * MILLISECONDS_PER_SECOND;
+			this.connection.setIdleLimit(limit - IDLE_MARGIN_MILLISECONDS);
+		}
+	}
+
+	private void reportHead(HttpResponse head) {
+		this.state = State.HELD;
+		int status = head.status().code();
+		boolean shed = status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+		boolean leaving = ProxyHeaders.LEAVING.equals(HeaderVocabulary.value(head.headers(), names().serverState()))
+				|| (shed && !this.reusable);
+		this.exchange.report(this, new AttemptReport.ResponseStarted(status, this.notRun, leaving));
+	}
+
+	private void hold(HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		if (this.body == null) {
+			this.body = Unpooled.buffer();
+		}
+		this.body.writeBytes(content.content());
+		content.release();
+		if (last) {
+			this.complete = true;
+			giveBack();
+		}
+		else if (this.body.readableBytes() <= this.context.configuration().limits().heldResponse()) {
+			ask();
+			return;
+		}
+		if (this.response != null) {
+			reportHead(this.response);
 		}
 	}
 
@@ -242,11 +339,15 @@
 
 	private void receivedContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
-		if (this.informational) {
-			this.informational = !last;
+		if (this.informational || this.skipping) {
+			this.informational &= !last;
+			this.skipping &= !last;
 			content.release();
 			ask();
 		}
+		else if (this.state == State.HOLDING) {
+			hold(content);
+		}
 		else if (this.state != State.RELAYING) {
 			content.release();
 			fail("The server sent a body without a head", false);
@@ -267,6 +368,12 @@
 
 	private void receivedLast(HttpContent content) {
 		this.state = State.FLUSHING;
+		giveBack();
+		this.exchange.relayLast(this, content.content());
+	}
+
+	/** Returns the connection after the whole response was received. */
+	private void giveBack() {
 		BackendConnection used = this.connection;
 		this.connection = null;
 		if (used != null) {
@@ -279,7 +386,6 @@
 				used.close();
 			}
 		}
-		this.exchange.relayLast(this, content.content());
 	}
 
 	/** Relays the held response. */
@@ -290,6 +396,16 @@
 		}
 		this.state = State.RELAYING;
 		this.exchange.relayHead(this, held);
+		ByteBuf received = this.body;
+		this.body = null;
+		if (this.complete) {
+			this.state = State.FLUSHING;
+			this.exchange.relayLast(this, (received != null) ? received : Unpooled.EMPTY_BUFFER);
+			return;
+		}
+		if (received != null) {
+			this.exchange.relayContent(new DefaultHttpContent(received));
+		}
 		ask();
 		readComplete();
 	}
@@ -328,6 +444,7 @@
 	/** Ends the attempt without a report and closes its connection. */
 	void end() {
 		this.state = State.ENDED;
+		this.body = null;
 		if (this.timer != null) {
 			this.timer.cancel(false);
 		}
@@ -338,7 +455,15 @@
 		}
 	}
 
+	private HeaderVocabulary names() {
+		return this.context.configuration().headers();
+	}
+
 	private void timeOut() {
+		if (this.state == State.HELD && this.complete) {
+			// The whole response is at hand and about to be relayed.
+			return;
+		}
 		if (this.paused || this.state == State.FLUSHING) {
 			// The server has done its part; the caller does not read the response.
 			this.exchange.callerTooSlow();
@@ -390,7 +515,10 @@
 		/** The request is being sent; waiting for the response head. */
 		AWAITING,
 
-		/** The response head is held until dispatch decides. */
+		/** The response is being received and nothing of it has been relayed. */
+		HOLDING,
+
+		/** The response, or its first part, is held until dispatch decides. */
 		HELD,
 
 		/** The response is being relayed. */
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
@@ -39,6 +39,8 @@
 
 	private long lastProven;
 
+	private long idleLimit = Long.MAX_VALUE;
+
 	BackendConnection(BackendResponseDecoder decoder) {
 		this.decoder = decoder;
 	}
@@ -104,6 +106,23 @@
 		return this.lastProven;
 	}
 
+	/**
+	 * Sets how long the server keeps the connection open while it is idle.
+	 * @param idleLimit the time in milliseconds
+	 */
+	void setIdleLimit(long idleLimit) {
+		this.idleLimit = idleLimit;
+	}
+
+	/**
+	 * Returns whether a request may be sent on the connection.
+	 * @param now the monotonic time in milliseconds
+	 * @return whether it is open and not about to be closed by the server
+	 */
+	boolean isUsable(long now) {
+		return isActive() && now - this.lastProven < this.idleLimit;
+	}
+
 	void setLastProven(long lastProven) {
 		this.lastProven = lastProven;
 	}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
@@ -9,6 +9,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -40,7 +41,7 @@
 
 	private static final EventLog LOG = new EventLog(BackendPool.class);
 
-	private final ProxyConfiguration configuration;
+	private final Supplier<ProxyConfiguration> configuration;
 
 	private final MillisecondClock clock;
 
@@ -52,18 +53,18 @@
 
 	private final Map<HostAddress, ServerConnections> servers = new HashMap<>();
 
-	BackendPool(ProxyConfiguration configuration, MillisecondClock clock, IntSupplier liveDaemons, EventLoop eventLoop,
-			ProxyMetrics metrics) {
+	BackendPool(Supplier<ProxyConfiguration> configuration, MillisecondClock clock, IntSupplier liveDaemons,
+			EventLoop eventLoop, ProxyMetrics metrics) {
 		this.metrics = metrics;
 		this.configuration = configuration;
 		this.clock = clock;
 		this.liveDaemons = liveDaemons;
-		int unsent = configuration.limits().unsentBytes();
+		int unsent = configuration.get().limits().unsentBytes();
 		this.bootstrap = new Bootstrap().group(eventLoop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.AUTO_READ, false)
 			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) configuration.timeouts().connect())
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) configuration.get().timeouts().connect())
 			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(unsent / 2, unsent));
 	}
 
@@ -119,7 +120,7 @@
 	 * @param now the monotonic time in milliseconds
 	 */
 	void closeIdle(long now) {
-		long oldest = now - this.configuration.timeouts().backendIdle();
+		long oldest = now - this.configuration.get().timeouts().backendIdle();
 		Iterator<ServerConnections> all = this.servers.values().iterator();
 		while (all.hasNext()) {
 			ServerConnections connections = all.next();
@@ -145,12 +146,14 @@
 	}
 
 	private @Nullable BackendConnection takeIdle(ServerConnections connections, ConnectionRequirement requirement) {
+		long now = this.clock.milliseconds();
 		BackendConnection last = connections.idle.pollLast();
-		while (last != null && !last.isActive()) {
+		while (last != null && !last.isUsable(now)) {
+			last.close();
 			last = connections.idle.pollLast();
 		}
 		if (last != null && requirement == ConnectionRequirement.PROVEN
-				&& this.clock.milliseconds() - last.lastProven() > this.configuration.timeouts().proven()) {
+				&& now - last.lastProven() > this.configuration.get().timeouts().proven()) {
 			connections.idle.addLast(last);
 			return null;
 		}
@@ -163,7 +166,7 @@
 			attempt.connectFailed(server.address() + " is no IP address");
 			return;
 		}
-		BackendResponseDecoder decoder = new BackendResponseDecoder(this.configuration.limits());
+		BackendResponseDecoder decoder = new BackendResponseDecoder(this.configuration.get().limits());
 		BackendConnection connection = new BackendConnection(decoder);
 		ChannelFuture connecting = this.bootstrap.clone()
 			.handler(new Initializer(decoder, connection))
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -32,14 +34,15 @@
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.proxy.ProxyConfiguration;
 import org.wigeonmast.proxy.ProxyEvent;
-import org.wigeonmast.proxy.ProxyHeaders;
+import org.wigeonmast.proxy.HeaderVocabulary;
 
 /**
  * Connection of a caller, whose requests are served one at a time in order.
  * <p>
  * Thread safety: none; the traffic thread owns it. Invariants: at most one request is in
- * progress and at most one message of the next one is held; after a response that is cut
- * short, or that leaves part of the request unread, the connection closes.
+ * progress; messages behind it are read ahead up to a bound, so that it is noticed when
+ * the caller leaves; after a response that is cut short, or that leaves part of the
+ * request unread, the connection closes.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
@@ -47,6 +50,9 @@
 
 	private static final long LINGER_MILLISECONDS = 1000;
 
+	/** The most messages that are read ahead of the request in progress. */
+	private static final int MOST_AHEAD = 64;
+
 	private final ProxyContext context;
 
 	private final CallerResponseEncoder encoder;
@@ -57,7 +63,11 @@
 
 	private @Nullable Exchange exchange;
 
-	private @Nullable HttpObject held;
+	private final Deque<HttpObject> ahead = new ArrayDeque<>();
+
+	private boolean wanted;
+
+	private boolean pumping;
 
 	private @Nullable Rejection deferred;
 
@@ -116,13 +126,24 @@
 	}
 
 	private void received(HttpObject message) {
+		if (this.state != State.CLOSING && (this.state == State.ANSWERING || !this.ahead.isEmpty())) {
+			this.ahead.addLast(message);
+			if (this.state == State.ANSWERING) {
+				readAhead();
+			}
+			else {
+				pump();
+			}
+			return;
+		}
+		process(message);
+	}
+
+	private void process(HttpObject message) {
 		switch (this.state) {
 			case HEAD -> receivedHead(message);
 			case BODY -> receivedBody(message);
-			case ANSWERING -> {
-				releaseHeld();
-				this.held = message;
-			}
+			case ANSWERING -> this.ahead.addFirst(message);
 			case CLOSING -> {
 				ReferenceCountUtil.release(message);
 				ask();
@@ -130,6 +151,33 @@
 		}
 	}
 
+	private void readAhead() {
+		if (this.ahead.size() < MOST_AHEAD && this.messages != null) {
+			this.messages.ask();
+		}
+	}
+
+	/** Handles messages that were read ahead as far as they are asked for. */
+	private void pump() {
+		if (this.pumping) {
+			return;
+		}
+		this.pumping = true;
+		try {
+			while (this.wanted && !this.ahead.isEmpty() && this.state != State.ANSWERING) {
+				this.wanted = false;
+				process(this.ahead.removeFirst());
+			}
+		}
+		finally {
+			this.pumping = false;
+		}
+		if (this.wanted && this.ahead.isEmpty() && this.messages != null) {
+			this.wanted = false;
+			this.messages.ask();
+		}
+	}
+
 	private void receivedHead(HttpObject message) {
 		if (!(message instanceof HttpRequest request)) {
 			// The end of a request that was refused before its end arrived.
@@ -142,7 +190,7 @@
 		this.encoder.setHead(HttpMethod.HEAD.equals(request.method()));
 		Either<Rejection, AdmittedHead> admitted = this.context.admission().admit(request, peer());
 		if (admitted.isLeft()) {
-			String declaredId = RequestAdmission.declaredId(request);
+			String declaredId = this.context.admission().declaredId(request);
 			ReferenceCountUtil.release(message);
 			reject(admitted.getLeft(), declaredId);
 			return;
@@ -173,7 +221,7 @@
 		current.content(content);
 		if (this.state == State.ANSWERING) {
 			// The next message is awaited so that it is noticed when the caller leaves.
-			ask();
+			readAhead();
 		}
 	}
 
@@ -202,7 +250,7 @@
 		}
 		Throwable reason = (cause.getCause() != null) ? cause.getCause() : cause;
 		Rejection rejection = RequestAdmission.undecodable(reason);
-		if (this.state == State.ANSWERING) {
+		if (this.state == State.ANSWERING || !this.ahead.isEmpty()) {
 			// The request in progress keeps its own answer.
 			this.deferred = rejection;
 		}
@@ -224,8 +272,10 @@
 	private void reject(Rejection rejection, @Nullable String declaredId) {
 		String id = (declaredId != null) ? declaredId : this.context.admission().nextId().value();
 		FullHttpResponse response = (rejection.problem() == Problem.NOT_RUN)
-				? ProblemResponses.notRun(rejection.detail(), id, this.context.configuration().timeouts().retryAfter())
-				: ProblemResponses.make(rejection.problem(), rejection.detail(), id, false);
+				? ProblemResponses.notRun(rejection.detail(), id, this.context.configuration().timeouts().retryAfter(),
+						this.context.configuration().headers())
+				: ProblemResponses.make(rejection.problem(), rejection.detail(), id, false,
+						this.context.configuration().headers());
 		this.context.metrics().count(ProxyMetrics.Outcome.REJECTED);
 		LOG.log(ProxyEvent.REQUEST_REJECTED, peer(), response.status().code(), rejection.detail());
 		respond(response, false);
@@ -265,8 +315,11 @@
 		HttpHeaders headers = response.headers();
 		boolean chunked = HttpUtil.isTransferEncodingChunked(response);
 		HopByHopHeaders.remove(headers);
-		headers.remove(ProxyHeaders.SERVER_STATE);
-		headers.set(ProxyHeaders.REQUEST_ID, requestId);
+		HeaderVocabulary names = this.context.configuration().headers();
+		if (names.serverState() != null) {
+			headers.remove(names.serverState());
+		}
+		headers.set(names.requestId(), requestId);
 		if (chunked || !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			setChunked(response);
 		}
@@ -335,12 +388,7 @@
 		}
 		this.state = State.HEAD;
 		this.since = now();
-		HttpObject waiting = this.held;
-		this.held = null;
-		if (waiting != null) {
-			receivedHead(waiting);
-		}
-		else if (this.deferred != null) {
+		if (this.ahead.isEmpty() && this.deferred != null) {
 			rejectUndecoded(this.deferred);
 		}
 		else {
@@ -421,9 +469,8 @@
 
 	/** Asks for the next message of the caller. */
 	void ask() {
-		if (this.messages != null) {
-			this.messages.ask();
-		}
+		this.wanted = true;
+		pump();
 	}
 
 	void flush() {
@@ -436,8 +483,8 @@
 	}
 
 	private void releaseHeld() {
-		ReferenceCountUtil.release(this.held);
-		this.held = null;
+		this.ahead.forEach(ReferenceCountUtil::release);
+		this.ahead.clear();
 	}
 
 	private long now() {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
@@ -15,7 +15,7 @@
 import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.dispatch.RequestEvent;
 import org.wigeonmast.proxy.ProxyEvent;
-import org.wigeonmast.proxy.ProxyHeaders;
+import org.wigeonmast.proxy.HeaderVocabulary;
 
 /**
  * One request of a caller from its head to the end of its answer.
@@ -196,7 +196,7 @@
 		String id = this.head.shownId();
 		return switch (outcome) {
 			case RequestOutcome.NotRun notRun when !this.mayHaveRun ->
-				ProblemResponses.notRun(notRun.reason(), id, notRun.retryAfter());
+				ProblemResponses.notRun(notRun.reason(), id, notRun.retryAfter(), names());
 			case RequestOutcome.NotRun notRun -> {
 				LOG.log(ProxyEvent.REFUSAL_CORRECTED, this.head.id());
 				yield unknown(notRun.reason(), id);
@@ -208,7 +208,7 @@
 
 	private FullHttpResponse unknown(String reason, String id) {
 		boolean late = this.context.clock().milliseconds() >= this.head.deadline();
-		return ProblemResponses.make(late ? Problem.DEADLINE_PASSED : Problem.UNKNOWN, reason, id, true);
+		return ProblemResponses.make(late ? Problem.DEADLINE_PASSED : Problem.UNKNOWN, reason, id, true, names());
 	}
 
 	/**
@@ -227,7 +227,7 @@
 			}
 		}
 		if (!truthful) {
-			response.headers().remove(ProxyHeaders.REQUEST_EXECUTION);
+			response.headers().remove(names().execution());
 		}
 		this.caller.respondHead(response, this.head.shownId(), this.body.isComplete());
 		long elapsed = System.nanoTime() - this.acceptedAt;
@@ -332,7 +332,8 @@
 			this.caller.breakTransfer();
 			return;
 		}
-		this.caller.respond(ProblemResponses.make(problem, detail, this.head.shownId(), this.mayHaveRun), false);
+		this.caller.respond(ProblemResponses.make(problem, detail, this.head.shownId(), this.mayHaveRun, names()),
+				false);
 	}
 
 	AdmittedHead head() {
@@ -377,6 +378,10 @@
 		}
 	}
 
+	private HeaderVocabulary names() {
+		return this.context.configuration().headers();
+	}
+
 	private @Nullable Attempt find(int number) {
 		for (Attempt attempt : this.attempts) {
 			if (attempt.number() == number) {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProblemResponses.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProblemResponses.java
@@ -1,5 +1,7 @@
 package org.wigeonmast.proxy.internal;
 
+import java.math.BigDecimal;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -9,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpVersion;
+import org.wigeonmast.proxy.HeaderVocabulary;
 import org.wigeonmast.proxy.ProxyHeaders;
 
 /**
@@ -26,6 +29,8 @@
 
 	private static final long MILLISECONDS_PER_SECOND = 1000;
 
+	private static final int MILLISECOND_DIGITS = 3;
+
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
 	private ProblemResponses() {
@@ -37,9 +42,11 @@
 	 * @param detail what happened to this request
 	 * @param requestId the identifier that the caller sees
 	 * @param run whether the request may have been run
+	 * @param names the names of header fields
 	 * @return the response, with its length
 	 */
-	static FullHttpResponse make(Problem problem, String detail, String requestId, boolean run) {
+	static FullHttpResponse make(Problem problem, String detail, String requestId, boolean run,
+			HeaderVocabulary names) {
 		ObjectNode document = MAPPER.createObjectNode()
 			.put("type", problem.type())
 			.put("title", problem.title())
@@ -53,9 +60,9 @@
 		response.headers()
 			.set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE)
 			.set(HttpHeaderNames.CONTENT_LENGTH, content.length)
-			.set(ProxyHeaders.REQUEST_ID, requestId);
+			.set(names.requestId(), requestId);
 		if (problem == Problem.NOT_RUN) {
-			response.headers().set(ProxyHeaders.REQUEST_EXECUTION, ProxyHeaders.NOT_RUN);
+			response.headers().set(names.execution(), ProxyHeaders.NOT_RUN);
 		}
 		if (problem == Problem.METHOD) {
 			response.headers().set(HttpHeaderNames.ALLOW, SERVED_METHODS);
@@ -72,17 +79,22 @@
 	 * @param detail the reason
 	 * @param requestId the identifier that the caller sees
 	 * @param retryAfter the advised wait in milliseconds, 0 for none
+	 * @param names the names of header fields
 	 * @return the response
 	 */
-	static FullHttpResponse notRun(String detail, String requestId, long retryAfter) {
-		FullHttpResponse response = make(Problem.NOT_RUN, detail, requestId, false);
+	static FullHttpResponse notRun(String detail, String requestId, long retryAfter, HeaderVocabulary names) {
+		FullHttpResponse response = make(Problem.NOT_RUN, detail, requestId, false, names);
 		if (retryAfter > 0) {
-			response.headers()
-				.set(HttpHeaderNames.RETRY_AFTER, (retryAfter + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND);
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfter, names.fractionalRetryAfter()));
 		}
 		return response;
 	}
 
+	private static String seconds(long milliseconds, boolean fractional) {
+		return fractional ? BigDecimal.valueOf(milliseconds, MILLISECOND_DIGITS).toPlainString()
+				: Long.toString((milliseconds + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND);
+	}
+
 	private static byte[] bytes(ObjectNode document) {
 		try {
 			return MAPPER.writeValueAsBytes(document);
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
-import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
@@ -16,9 +15,9 @@
 import org.wigeonmast.core.RequestId;
 import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.dispatch.RequestEvent;
-import org.wigeonmast.manifest.Manifest;
 import org.wigeonmast.proxy.ProxyConfiguration;
 import org.wigeonmast.proxy.ProxyEvent;
+import org.wigeonmast.proxy.RequestRouter;
 
 /**
  * What the connections and exchanges of one proxy share.
@@ -41,11 +40,11 @@
 
 	private static final EventLog LOG = new EventLog(ProxyContext.class);
 
-	private final ProxyConfiguration configuration;
+	private ProxyConfiguration configuration;
 
 	private final MillisecondClock clock;
 
-	private final Supplier<@Nullable Manifest> manifests;
+	private final RequestRouter router;
 
 	private final Consumer<RequestEvent> events;
 
@@ -69,28 +68,29 @@
 
 	private long lastConnection;
 
+	private long acceptingUntil;
+
 	private @Nullable Runnable closeListener;
 
 	/**
 	 * Creates a context.
 	 * @param configuration the configuration
 	 * @param clock the clock
-	 * @param manifests supplies the manifest in force, or {@code null}
+	 * @param router finds the routes of requests
 	 * @param events takes the events
 	 * @param liveDaemons supplies the number of live daemons
 	 * @param eventLoop the event loop of the traffic thread
 	 * @param metrics the metrics
 	 */
-	public ProxyContext(ProxyConfiguration configuration, MillisecondClock clock,
-			Supplier<@Nullable Manifest> manifests, Consumer<RequestEvent> events, IntSupplier liveDaemons,
-			EventLoop eventLoop, ProxyMetrics metrics) {
+	public ProxyContext(ProxyConfiguration configuration, MillisecondClock clock, RequestRouter router,
+			Consumer<RequestEvent> events, IntSupplier liveDaemons, EventLoop eventLoop, ProxyMetrics metrics) {
 		this.metrics = metrics;
 		this.configuration = configuration;
 		this.clock = clock;
-		this.manifests = manifests;
+		this.router = router;
 		this.events = events;
 		this.eventLoop = eventLoop;
-		this.pool = new BackendPool(configuration, clock, liveDaemons, eventLoop, metrics);
+		this.pool = new BackendPool(this::configuration, clock, liveDaemons, eventLoop, metrics);
 		this.admission = new RequestAdmission(this);
 	}
 
@@ -105,6 +105,15 @@
 		}
 	}
 
+	/**
+	 * Changes limits and timeouts; open connections keep the limits on messages that they
+	 * began with.
+	 * @param changed the configuration, with the same address
+	 */
+	public void reconfigure(ProxyConfiguration changed) {
+		this.configuration = changed;
+	}
+
 	/** Closes connections that are idle or too slow. */
 	public void sweep() {
 		long now = this.clock.milliseconds();
@@ -121,8 +130,10 @@
 	 * while, because connections that the operating system has taken and the proxy has
 	 * not are reset when it closes
 	 * @param done completes when the listener and all connections of callers are closed
+	 * @param accepting the time in milliseconds for which connections are accepted at
+	 * least
 	 */
-	public void drain(Runnable closing, CompletableFuture<Void> done) {
+	public void drain(Runnable closing, CompletableFuture<Void> done, long accepting) {
 		if (this.drained != null) {
 			this.drained.whenComplete((nothing, exception) -> done.complete(null));
 			return;
@@ -131,6 +142,7 @@
 		this.drained = done;
 		this.drainingSince = this.clock.milliseconds();
 		this.closeListener = closing;
+		this.acceptingUntil = this.drainingSince + accepting;
 	}
 
 	/** Closes all connections at once. */
@@ -143,7 +155,7 @@
 
 	private void closeListenerWhenQuiet(long now) {
 		Runnable closing = this.closeListener;
-		if (closing == null) {
+		if (closing == null || now < this.acceptingUntil) {
 			return;
 		}
 		boolean quiet = now - Math.max(this.lastConnection, this.drainingSince) >= QUIET;
@@ -187,8 +199,8 @@
 		return this.clock;
 	}
 
-	Supplier<@Nullable Manifest> manifests() {
-		return this.manifests;
+	RequestRouter router() {
+		return this.router;
 	}
 
 	EventLoop eventLoop() {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestAdmission.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestAdmission.java
@@ -12,9 +12,9 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.CallerId;
 import org.wigeonmast.core.RequestId;
-import org.wigeonmast.manifest.Manifest;
 import org.wigeonmast.manifest.Route;
-import org.wigeonmast.proxy.ProxyHeaders;
+import org.wigeonmast.proxy.HeaderVocabulary;
+import org.wigeonmast.proxy.RequestRouter;
 
 /**
  * Checks the head of a request and routes it.
@@ -38,19 +38,18 @@
 	 * @return the head or why it is rejected
 	 */
 	Either<Rejection, AdmittedHead> admit(HttpRequest request, String peer) {
-		Rejection rejection = RequestHeadChecks.check(request, this.context.configuration().limits());
+		Rejection rejection = RequestHeadChecks.check(request, this.context.configuration());
 		if (rejection != null) {
 			return Either.left(rejection);
 		}
-		Manifest manifest = this.context.manifests().get();
-		if (manifest == null) {
-			return Either.left(new Rejection(Problem.NOT_RUN, "No manifest is in force yet"));
-		}
-		Route route = manifest.route(request.method().name(), path(request.uri()));
-		if (route == null) {
-			return Either.left(new Rejection(Problem.NO_ROUTE, "No route matches " + request.method().name()));
-		}
-		return Either.right(head(request, peer, route));
+		String host = request.headers().get(HttpHeaderNames.HOST);
+		return switch (this.context.router().route(host, request.method().name(), path(request.uri()))) {
+			case RequestRouter.Result.Found found -> Either.right(head(request, peer, found.route()));
+			case RequestRouter.Result.Unconfigured unconfigured ->
+				Either.left(new Rejection(Problem.NOT_RUN, unconfigured.reason()));
+			case RequestRouter.Result.Unknown _ ->
+				Either.left(new Rejection(Problem.NO_ROUTE, "No route matches " + request.method().name()));
+		};
 	}
 
 	/**
@@ -58,8 +57,8 @@
 	 * @param request the request
 	 * @return the caller's own identifier if it is usable, otherwise {@code null}
 	 */
-	static @Nullable String declaredId(HttpRequest request) {
-		String declared = request.headers().get(ProxyHeaders.REQUEST_ID);
+	@Nullable String declaredId(HttpRequest request) {
+		String declared = request.headers().get(names().requestId());
 		return (declared != null && RequestHeadChecks.isToken(declared)) ? declared : null;
 	}
 
@@ -76,30 +75,40 @@
 		RequestId id = this.requestIds.next();
 		String declaredId = declaredId(request);
 		String shownId = (declaredId != null) ? declaredId : id.value();
-		String declaredCaller = headers.get(ProxyHeaders.CALLER_ID);
+		String declaredCaller = HeaderVocabulary.value(headers, names().caller());
 		CallerId caller = new CallerId((declaredCaller != null) ? declaredCaller : peer);
-		String attempt = headers.get(ProxyHeaders.REQUEST_ATTEMPT);
+		String attempt = HeaderVocabulary.value(headers, names().attempt());
 		boolean keepAlive = HttpUtil.isKeepAlive(request);
 		boolean expectsContinue = headers.contains(HttpHeaderNames.EXPECT);
 		long length = HttpUtil.isTransferEncodingChunked(request) ? AdmittedHead.UNKNOWN_LENGTH
 				: HttpUtil.getContentLength(request, 0L);
 		HopByHopHeaders.remove(headers);
 		headers.remove(HttpHeaderNames.EXPECT);
-		headers.set(ProxyHeaders.REQUEST_ID, shownId);
-		headers.set(ProxyHeaders.CALLER_ID, caller.value());
-		headers.add(HttpHeaderNames.VIA, "1.1 " + this.context.configuration().daemonName());
+		headers.set(names().requestId(), shownId);
+		String callerName = names().caller();
+		if (callerName != null) {
+			headers.set(callerName, caller.value());
+		}
+		if (names().traced()) {
+			headers.add(HttpHeaderNames.VIA, "1.1 " + this.context.configuration().daemonName());
+		}
 		return new AdmittedHead(request, id, shownId, route, caller, deadline(headers, route),
-				headers.get(ProxyHeaders.IDEMPOTENCY_KEY), (attempt != null) ? Integer.parseInt(attempt) : 0, length,
-				keepAlive, expectsContinue);
+				HeaderVocabulary.value(headers, names().idempotencyKey()),
+				(attempt != null) ? Integer.parseInt(attempt) : 0, length, keepAlive, expectsContinue);
 	}
 
 	private long deadline(HttpHeaders headers, Route route) {
-		String declared = headers.get(ProxyHeaders.REQUEST_TIMEOUT);
-		long timeout = (declared != null) ? Long.parseLong(declared) : route.timeout();
+		String declared = headers.get(names().timeLeft());
+		long timeout = Math.min((declared != null) ? Long.parseLong(declared) : route.timeout(),
+				route.plan().longest());
 		return this.context.clock().milliseconds()
 				+ Math.min(timeout, this.context.configuration().timeouts().request());
 	}
 
+	private HeaderVocabulary names() {
+		return this.context.configuration().headers();
+	}
+
 	private static String path(String target) {
 		int query = target.indexOf('?');
 		return (query < 0) ? target : target.substring(0, query);
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestHeadChecks.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestHeadChecks.java
@@ -1,6 +1,8 @@
 package org.wigeonmast.proxy.internal;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -10,7 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.proxy.ProxyConfiguration;
-import org.wigeonmast.proxy.ProxyHeaders;
+import org.wigeonmast.proxy.HeaderVocabulary;
 
 /**
  * Checks on the head of a request that the decoder leaves to its user.
@@ -27,31 +29,27 @@
 
 	private static final int LENGTH_DIGITS = 18;
 
-	private static final List<String> TOKENS = List.of(ProxyHeaders.CALLER_ID, ProxyHeaders.IDEMPOTENCY_KEY);
-
-	private static final List<String> NUMBERS = List.of(ProxyHeaders.REQUEST_TIMEOUT, ProxyHeaders.REQUEST_ATTEMPT);
-
 	private RequestHeadChecks() {
 	}
 
 	/**
 	 * Checks a request head.
 	 * @param request the request
-	 * @param limits the limits
+	 * @param configuration the limits and the names of header fields
 	 * @return why it is rejected, or {@code null}
 	 */
-	static @Nullable Rejection check(HttpRequest request, ProxyConfiguration.Limits limits) {
+	static @Nullable Rejection check(HttpRequest request, ProxyConfiguration configuration) {
 		if (request.decoderResult().isFailure()) {
 			return RequestAdmission.undecodable(request.decoderResult());
 		}
 		Rejection rejection = checkRequestLine(request);
 		if (rejection == null) {
-			rejection = checkFraming(request.headers(), limits);
+			rejection = checkFraming(request.headers(), configuration.limits());
 		}
 		if (rejection == null) {
 			rejection = checkNegotiation(request.headers());
 		}
-		return (rejection != null) ? rejection : checkOwnFields(request.headers());
+		return (rejection != null) ? rejection : checkOwnFields(request.headers(), configuration.headers());
 	}
 
 	private static @Nullable Rejection checkRequestLine(HttpRequest request) {
@@ -116,15 +114,15 @@
 		return null;
 	}
 
-	private static @Nullable Rejection checkOwnFields(HttpHeaders headers) {
-		for (String name : TOKENS) {
+	private static @Nullable Rejection checkOwnFields(HttpHeaders headers, HeaderVocabulary names) {
+		for (String name : present(names.caller(), names.idempotencyKey())) {
 			List<String> values = headers.getAll(name);
 			if (values.size() > 1 || (values.size() == 1 && !isToken(values.getFirst()))) {
 				return new Rejection(Problem.MALFORMED,
 						name + " must be one value of 1 to " + TOKEN_LENGTH + " visible ASCII characters");
 			}
 		}
-		for (String name : NUMBERS) {
+		for (String name : present(names.timeLeft(), names.attempt())) {
 			List<String> values = headers.getAll(name);
 			if (values.size() > 1 || (values.size() == 1 && !isNumber(values.getFirst(), NUMBER_LENGTH))) {
 				return new Rejection(Problem.MALFORMED,
@@ -134,6 +132,10 @@
 		return null;
 	}
 
+	private static List<String> present(@Nullable String... names) {
+		return Arrays.stream(names).filter(Objects::nonNull).map(Objects::requireNonNull).toList();
+	}
+
 	/**
 	 * Returns whether a value is short and of visible ASCII characters.
 	 * @param value the value
