Start a watch again that neither the store nor a peer confirms

The answer of a watch was lost while the daemon was cut from its peers too, and the watch waits up to 12 s.

Change: greetings carry the revision and the age of its confirmation by the store; a watch without confirmation for 2.5 s is started again. Two tests fail without it.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -422,8 +422,10 @@
 
 	private void observe(long now, ServerState server, ServerNews.Kind kind) {
 		server.observe(now, kind);
-		this.effects.add(new BalanceEffect.Tell(new ServerNews(server.record().id(), kind),
-				server.record().failureDomain().region()));
+		if (server.isWorthTelling(now, kind)) {
+			this.effects.add(new BalanceEffect.Tell(new ServerNews(server.record().id(), kind),
+					server.record().failureDomain().region()));
+		}
 		reportSuspicion(now, server, kind, "seen");
 	}
 
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEvent.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEvent.java
@@ -85,6 +85,11 @@
 	RECORD_LAPSED(1226, Level.INFO, "the record of server {} lapsed during a disruption of the store; kept for {} ms",
 			"Nothing to do."),
 
+	/** Neither the store nor a peer confirmed the revision. */
+	WATCH_UNCONFIRMED(1227, Level.INFO,
+			"nothing confirmed for {} ms that revision {} is the last; the watch is started again",
+			"Nothing to do; look at the network of this host if it repeats."),
+
 	/** A peer is live. */
 	PEER_LIVE(1230, Level.INFO, "peer {} in {} is live, {} live daemons", "Nothing to do."),
 
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/FollowInput.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/FollowInput.java
@@ -48,11 +48,12 @@
 	}
 
 	/**
-	 * A peer has seen a revision.
+	 * A peer knows how far the published state had gone at some time.
 	 *
 	 * @param revision the revision
+	 * @param age the time in milliseconds since the store confirmed it
 	 */
-	record PeerRevision(long revision) implements FollowInput {
+	record PeerRevision(long revision, long age) implements FollowInput {
 	}
 
 }
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
@@ -39,6 +39,12 @@
 
 	private static final long LONGEST_PAUSE = 1000;
 
+	/**
+	 * Time in milliseconds without a confirmation of the revision, by the store or
+	 * through a peer, after which a watch counts as lost.
+	 */
+	private static final long UNCONFIRMED = 2500;
+
 	/** Time in milliseconds that a peer may be ahead before the state is read again. */
 	private static final long LAG_ACCEPTED = 300;
 
@@ -69,6 +75,10 @@
 
 	private long retryAt = NO_TIMER;
 
+	private long confirmedAt;
+
+	private long watchedAt = NO_TIMER;
+
 	private long peerRevision;
 
 	private long lagCheckAt = NO_TIMER;
@@ -91,6 +101,15 @@
 		return this.revision;
 	}
 
+	/**
+	 * Returns how long ago the store confirmed the revision, to this daemon or a peer.
+	 * @param now the monotonic time in milliseconds
+	 * @return the time in milliseconds
+	 */
+	public long confirmationAge(long now) {
+		return now - this.confirmedAt;
+	}
+
 	/**
 	 * Returns whether the state is known as a whole and has a configuration.
 	 * @return whether requests can be served
@@ -102,7 +121,10 @@
 	@Override
 	public List<FollowEffect> handle(long now, FollowInput input) {
 		switch (input) {
-			case FollowInput.Started _ -> read();
+			case FollowInput.Started _ -> {
+				this.confirmedAt = now;
+				read();
+			}
 			case FollowInput.Listed listed -> listed(now, listed.listing());
 			case FollowInput.Changed changed -> changed(now, changed);
 			case FollowInput.HistoryDropped _ -> {
@@ -110,7 +132,7 @@
 				read();
 			}
 			case FollowInput.Failed failed -> failed(now, failed.reason());
-			case FollowInput.PeerRevision peer -> peerRevision(now, peer.revision());
+			case FollowInput.PeerRevision peer -> peerRevision(now, peer);
 		}
 		return drain();
 	}
@@ -119,14 +141,18 @@
 	public List<FollowEffect> tick(long now) {
 		if (this.retryAt <= now) {
 			this.retryAt = NO_TIMER;
-			resume();
+			resume(now);
+		}
+		if (confirmationDue() <= now) {
+			log(BalanceEvent.WATCH_UNCONFIRMED, now - this.confirmedAt, this.revision);
+			resume(now);
 		}
 		if (this.lagCheckAt <= now) {
 			this.lagCheckAt = NO_TIMER;
 			if (this.peerRevision > this.revision && this.retryAt == NO_TIMER) {
 				this.lastLagRead = now;
 				log(BalanceEvent.BEHIND_PEER, this.peerRevision, this.revision);
-				resume();
+				resume(now);
 			}
 		}
 		dropLapsed(now);
@@ -135,7 +161,7 @@
 
 	@Override
 	public long nextTick() {
-		long next = Math.min(this.retryAt, this.lagCheckAt);
+		long next = Math.min(Math.min(this.retryAt, this.lagCheckAt), confirmationDue());
 		for (long until : this.lapsed.values()) {
 			next = Math.min(next, until);
 		}
@@ -152,11 +178,18 @@
 		this.effects.add(new FollowEffect.ReadState());
 	}
 
-	private void resume() {
+	/** Returns when a watch that nothing confirms is to be started again. */
+	private long confirmationDue() {
+		return (this.watchedAt == NO_TIMER) ? NO_TIMER : Math.max(this.confirmedAt, this.watchedAt) + UNCONFIRMED;
+	}
+
+	private void resume(long now) {
+		this.watchedAt = NO_TIMER;
 		if (this.revision < 0) {
 			read();
 		}
 		else {
+			this.watchedAt = now;
 			this.effects.add(new FollowEffect.Watch(this.revision));
 		}
 	}
@@ -177,7 +210,7 @@
 			this.complete = true;
 			this.effects.add(new FollowEffect.Complete());
 		}
-		resume();
+		resume(now);
 	}
 
 	private void changed(long now, FollowInput.Changed changed) {
@@ -245,6 +278,8 @@
 	private void contact(long now, long seen) {
 		this.failures = 0;
 		this.retryAt = NO_TIMER;
+		this.watchedAt = NO_TIMER;
+		this.confirmedAt = now;
 		if (this.lost) {
 			this.lost = false;
 			this.regainedAt = now;
@@ -253,6 +288,7 @@
 	}
 
 	private void failed(long now, String reason) {
+		this.watchedAt = NO_TIMER;
 		if (!this.lost) {
 			this.lost = true;
 			this.lostAt = now;
@@ -263,8 +299,11 @@
 		this.retryAt = now + pause / 2 + this.random.nextLong(pause / 2 + 1);
 	}
 
-	private void peerRevision(long now, long seen) {
-		this.peerRevision = Math.max(this.peerRevision, seen);
+	private void peerRevision(long now, FollowInput.PeerRevision peer) {
+		this.peerRevision = Math.max(this.peerRevision, peer.revision());
+		if (peer.revision() >= 0 && peer.revision() <= this.revision) {
+			this.confirmedAt = Math.max(this.confirmedAt, now - peer.age());
+		}
 		if (this.peerRevision > this.revision && this.revision >= 0 && this.lagCheckAt == NO_TIMER) {
 			this.lagCheckAt = Math.max(now + LAG_ACCEPTED, this.lastLagRead + LAG_PAUSE);
 		}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
@@ -16,6 +16,9 @@
 	/** First time in milliseconds during which an unreachable server is avoided. */
 	private static final long UNREACHABLE_MILLISECONDS = 1000;
 
+	/** Time in milliseconds in which the same is told once. */
+	private static final long TOLD_ONCE_PER_MILLISECONDS = 300;
+
 	private static final int MOST_DOUBLINGS = 3;
 
 	private static final double FAILED_WEIGHT = 3.5;
@@ -40,6 +43,8 @@
 
 	private boolean mismatched;
 
+	private final long[] toldAt = new long[ServerNews.Kind.values().length];
+
 	private boolean reportedSuspected;
 
 	private int inFlight;
@@ -95,6 +100,21 @@
 		this.unreachableUntil = 0;
 	}
 
+	/**
+	 * Returns whether peers are to be told an observation, which they are not when the
+	 * same was told just before.
+	 * @param now the monotonic time in milliseconds
+	 * @param kind what was seen
+	 * @return whether to tell it
+	 */
+	public boolean isWorthTelling(long now, ServerNews.Kind kind) {
+		boolean worth = now >= this.toldAt[kind.ordinal()];
+		if (worth) {
+			this.toldAt[kind.ordinal()] = now + TOLD_ONCE_PER_MILLISECONDS;
+		}
+		return worth;
+	}
+
 	/** Notes that another server answered at the address. */
 	public void mismatch() {
 		this.mismatched = true;
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessage.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessage.java
@@ -9,10 +9,11 @@
  *
  * @param sender the daemon that sent it
  * @param revision the revision of the published state that the sender knows, -1 for none
+ * @param revisionAge the time in milliseconds since the store confirmed that revision
  * @param members other daemons that the sender heard of
  * @param news what the sender saw of backend servers
  */
-public record PeerMessage(Peer sender, long revision, List<Heard> members, List<ServerNews> news) {
+public record PeerMessage(Peer sender, long revision, long revisionAge, List<Heard> members, List<ServerNews> news) {
 
 	public PeerMessage {
 		members = List.copyOf(members);
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
@@ -32,6 +32,8 @@
 
 	private static final int NEWS = 5;
 
+	private static final int REVISION_AGE = 6;
+
 	private static final int ADDRESS = 1;
 
 	private static final int PORT = 2;
@@ -73,6 +75,7 @@
 			}
 			out.writeByteArray(SENDER, peer(message.sender(), 0, domains, 0));
 			out.writeSInt64(REVISION, message.revision());
+			out.writeUInt64(REVISION_AGE, message.revisionAge());
 			int port = message.sender().address().port();
 			for (PeerMessage.Heard heard : message.members()) {
 				out.writeByteArray(MEMBER, peer(heard.peer(), heard.age(), domains, port));
@@ -97,6 +100,7 @@
 		List<FailureDomain> domains = new ArrayList<>();
 		PeerMessage.Heard sender = null;
 		long revision = -1;
+		long revisionAge = 0;
 		List<PeerMessage.Heard> members = new ArrayList<>();
 		List<ServerNews> news = new ArrayList<>();
 		for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -104,16 +108,17 @@
 				case DOMAIN_NAME -> domains.add(domain(in.readString()));
 				case SENDER -> sender = readPeer(in.readByteArray(), domains, 0);
 				case REVISION -> revision = in.readSInt64();
+				case REVISION_AGE -> revisionAge = in.readUInt64();
 				case MEMBER -> members
 					.add(readPeer(in.readByteArray(), domains, (sender != null) ? sender.peer().address().port() : 0));
 				case NEWS -> news.add(readNews(in.readByteArray()));
 				default -> in.skipField(tag);
 			}
 		}
-		if (sender == null) {
-			throw new IOException("The sender is missing");
+		if (sender == null || revisionAge < 0) {
+			throw new IOException("The sender or a usable age is missing");
 		}
-		return new PeerMessage(sender.peer(), revision, members, news);
+		return new PeerMessage(sender.peer(), revision, revisionAge, members, news);
 	}
 
 	private static FailureDomain domain(String text) throws IOException {
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
@@ -56,6 +56,10 @@
 
 	private long revision = -1;
 
+	private long confirmedAt;
+
+	private long now;
+
 	private long nextGreeting = NO_TIMER;
 
 	private long greetings;
@@ -73,6 +77,7 @@
 
 	@Override
 	public List<RosterEffect> handle(long now, RosterInput input) {
+		this.now = now;
 		switch (input) {
 			case RosterInput.Seeds changed -> {
 				this.seeds = changed.addresses()
@@ -83,7 +88,10 @@
 			}
 			case RosterInput.Received received -> received(now, received.message());
 			case RosterInput.Tell tell -> tell(tell);
-			case RosterInput.Revision known -> this.revision = known.revision();
+			case RosterInput.Revision known -> {
+				this.revision = known.revision();
+				this.confirmedAt = known.confirmedAt();
+			}
 			case RosterInput.Leave _ -> {
 				this.self = new Peer(this.self.address(), this.self.failureDomain(), true);
 				this.peers.keySet().forEach((peer) -> send(peer, List.of(), List.of()));
@@ -94,6 +102,7 @@
 
 	@Override
 	public List<RosterEffect> tick(long now) {
+		this.now = now;
 		if (this.nextGreeting <= now) {
 			dropLost(now);
 			greet(now);
@@ -164,8 +173,8 @@
 			sizeChanged();
 		}
 		message.news().forEach((news) -> this.effects.add(new RosterEffect.News(news)));
-		if (message.revision() > this.revision) {
-			this.effects.add(new RosterEffect.PeerRevision(message.revision()));
+		if (message.revision() >= 0) {
+			this.effects.add(new RosterEffect.PeerRevision(message.revision(), message.revisionAge()));
 		}
 	}
 
@@ -218,7 +227,8 @@
 	}
 
 	private void send(HostAddress receiver, List<PeerMessage.Heard> members, List<ServerNews> news) {
-		this.effects.add(new RosterEffect.Send(receiver, new PeerMessage(this.self, this.revision, members, news)));
+		this.effects.add(new RosterEffect.Send(receiver,
+				new PeerMessage(this.self, this.revision, Math.max(0, this.now - this.confirmedAt), members, news)));
 	}
 
 	private void sizeChanged() {
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterEffect.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterEffect.java
@@ -41,8 +41,9 @@
 	 * A peer knows a revision of the published state.
 	 *
 	 * @param revision the revision
+	 * @param age the time in milliseconds since the store confirmed it
 	 */
-	record PeerRevision(long revision) implements RosterEffect {
+	record PeerRevision(long revision, long age) implements RosterEffect {
 	}
 
 	/**
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterInput.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterInput.java
@@ -46,8 +46,10 @@
 	 * The revision of the published state that this daemon knows.
 	 *
 	 * @param revision the revision
+	 * @param confirmedAt the monotonic time in milliseconds at which the store confirmed
+	 * it
 	 */
-	record Revision(long revision) implements RosterInput {
+	record Revision(long revision, long confirmedAt) implements RosterInput {
 	}
 
 	/** This daemon is stopping. */
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/follow/StateFollowerTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/follow/StateFollowerTests.java
@@ -79,10 +79,34 @@
 	void peerThatIsAheadMakesItWatchAgain() {
 		start(1);
 		tickUntil(this.now + 1000);
-		give(new FollowInput.PeerRevision(20));
+		give(new FollowInput.PeerRevision(20, 0));
 		Truth.assertThat(tickUntil(this.now + 1000)).contains(new FollowEffect.Watch(10));
 	}
 
+	/**
+	 * Guards against a leaving server that is used because the answer of a watch was
+	 * lost.
+	 */
+	@Test
+	void watchThatNothingConfirmsIsStartedAgain() {
+		start(1);
+		long lostAt = this.now;
+		List<FollowEffect> effects = tickUntil(lostAt + 3000);
+		Truth.assertThat(effects).contains(new FollowEffect.Watch(10));
+	}
+
+	/** Guards against calls that a peer's confirmation makes needless. */
+	@Test
+	void watchThatPeersConfirmGoesOn() {
+		start(1);
+		List<FollowEffect> effects = new ArrayList<>();
+		for (int i = 0; i < 10; i++) {
+			effects.addAll(tickUntil(this.now + 1000));
+			give(new FollowInput.PeerRevision(10, 500));
+		}
+		Truth.assertThat(effects).doesNotContain(new FollowEffect.Watch(10));
+	}
+
 	/** Guards against a storm of calls while the store is down. */
 	@Test
 	void failedCallsAreRepeatedWithGrowingPauses() {
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -257,11 +257,17 @@
 		return (result) -> this.control.execute(() -> {
 			if (number == this.callNumber) {
 				this.following.handle(result);
-				this.roster.handle(new RosterInput.Revision(this.follower.revision()));
+				tellRevision();
 			}
 		});
 	}
 
+	private void tellRevision() {
+		long now = this.control.clock().milliseconds();
+		this.roster
+			.handle(new RosterInput.Revision(this.follower.revision(), now - this.follower.confirmationAge(now)));
+	}
+
 	private void apply(Change change) {
 		switch (change) {
 			case Change.ServerWritten written -> this.balance.handle(new BalanceInput.ServerChanged(written.server()));
@@ -282,7 +288,10 @@
 				this.proxy.setLiveDaemons(changed::daemons);
 			}
 			case RosterEffect.News news -> this.balance.handle(new BalanceInput.Told(news.news()));
-			case RosterEffect.PeerRevision peer -> this.following.handle(new FollowInput.PeerRevision(peer.revision()));
+			case RosterEffect.PeerRevision peer -> {
+				this.following.handle(new FollowInput.PeerRevision(peer.revision(), peer.age()));
+				tellRevision();
+			}
 			case RosterEffect.Logged logged -> this.log.log(logged.event(), logged.parameters().toArray());
 		}
 	}
