--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -15,6 +15,7 @@
 import org.wigeonmast.balance.internal.ServerChoice;
 import org.wigeonmast.balance.internal.ServerState;
 import org.wigeonmast.balance.internal.ServiceState;
+import org.wigeonmast.balance.peer.Rumour;
 import org.wigeonmast.balance.peer.ServerNews;
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.Component;
@@ -59,6 +60,11 @@
 
 	private static final int DEFAULT_CONNECTIONS = 100;
 
+	/** Probability from which peers are told what this daemon believes. */
+	private static final double TOLD_FROM = 0.2;
+
+	private static final double PERCENT = 100;
+
 	private static final String NO_SERVER = "no backend server of the service can be reached";
 
 	private static final String SHED = "the backend servers are full";
@@ -103,6 +109,7 @@
 			case BalanceInput.ServerChanged changed -> serverChanged(now, changed.server());
 			case BalanceInput.ServerGone gone -> serverGone(gone.server());
 			case BalanceInput.Told told -> told(now, told.news());
+			case BalanceInput.Rumoured rumoured -> rumoured(now, rumoured.rumour());
 			case BalanceInput.FleetSize size -> {
 				this.daemons = Math.max(1, size.daemons());
 				this.services.values().forEach((service) -> service.allowance().setDaemons(this.daemons));
@@ -132,6 +139,22 @@
 		return this.requests.size();
 	}
 
+	/**
+	 * Returns what this daemon believes of servers that are suspected.
+	 * @param now the monotonic time in milliseconds
+	 * @return what it believes
+	 */
+	public List<Rumour> rumours(long now) {
+		return this.servers.values()
+			.stream()
+			.filter((server) -> server.suspicion().probability(now) >= TOLD_FROM
+					&& server.suspicion().evidenceAge(now) >= 0)
+			.map((server) -> new Rumour(server.record().id(),
+					(int) Math.round(server.suspicion().probability(now) * PERCENT),
+					server.suspicion().evidenceAge(now)))
+			.toList();
+	}
+
 	private List<BalanceEffect> drain() {
 		List<BalanceEffect> drained = List.copyOf(this.effects);
 		this.effects.clear();
@@ -178,6 +201,13 @@
 		}
 	}
 
+	private void rumoured(long now, Rumour rumour) {
+		ServerState server = this.servers.get(rumour.server());
+		if (server != null && server.suspicion().adopt(now, rumour.percent() / PERCENT, rumour.age())) {
+			reportSuspicion(now, server, ServerNews.Kind.FAILED, "believed by a peer");
+		}
+	}
+
 	private void proxied(long now, RequestEvent event) {
 		switch (event) {
 			case RequestEvent.Accepted accepted -> accepted(now, accepted.request());
@@ -458,7 +488,7 @@
 	}
 
 	private static String percent(double probability) {
-		return Math.round(probability * 100) + "%";
+		return Math.round(probability * PERCENT) + "%";
 	}
 
 	/**
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceInput.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceInput.java
@@ -1,5 +1,6 @@
 package org.wigeonmast.balance;
 
+import org.wigeonmast.balance.peer.Rumour;
 import org.wigeonmast.balance.peer.ServerNews;
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.dispatch.RequestEvent;
@@ -51,6 +52,14 @@
 	record Told(ServerNews news) implements BalanceInput {
 	}
 
+	/**
+	 * A peer told what it believes of a backend server.
+	 *
+	 * @param rumour what it believes
+	 */
+	record Rumoured(Rumour rumour) implements BalanceInput {
+	}
+
 	/**
 	 * The number of live daemons changed.
 	 *
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
@@ -33,7 +33,7 @@
 	private static final double OTHER_DOMAIN_LONG = 0.5;
 
 	/** Costs of sending a request to another region, over its narrow link. */
-	private static final double OTHER_REGION = 0.15;
+	private static final double OTHER_REGION = 0.25;
 
 	private static final double OTHER_REGION_LONG = 3;
 
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessage.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessage.java
@@ -12,12 +12,24 @@
  * @param revisionAge the time in milliseconds since the store confirmed that revision
  * @param members other daemons that the sender heard of
  * @param news what the sender saw of backend servers
+ * @param rumours what the sender believes of suspected backend servers
  */
-public record PeerMessage(Peer sender, long revision, long revisionAge, List<Heard> members, List<ServerNews> news) {
+public record PeerMessage(Peer sender, long revision, long revisionAge, List<Heard> members, List<ServerNews> news,
+		List<Rumour> rumours) {
 
 	public PeerMessage {
 		members = List.copyOf(members);
 		news = List.copyOf(news);
+		rumours = List.copyOf(rumours);
+	}
+
+	/**
+	 * Returns this message with what the sender believes.
+	 * @param believed what it believes of suspected servers
+	 * @return the message
+	 */
+	public PeerMessage withRumours(List<Rumour> believed) {
+		return new PeerMessage(this.sender, this.revision, this.revisionAge, this.members, this.news, believed);
 	}
 
 	/**
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
@@ -34,6 +34,8 @@
 
 	private static final int REVISION_AGE = 6;
 
+	private static final int RUMOUR = 7;
+
 	private static final int ADDRESS = 1;
 
 	private static final int PORT = 2;
@@ -48,6 +50,12 @@
 
 	private static final int KIND = 2;
 
+	private static final int PERCENT = 2;
+
+	private static final int EVIDENCE_AGE = 3;
+
+	private static final int WHOLE = 100;
+
 	private static final char REGION_END = '/';
 
 	private static final int OCTETS = 4;
@@ -86,6 +94,13 @@
 					inner.writeEnum(KIND, news.kind().ordinal());
 				}));
 			}
+			for (Rumour rumour : message.rumours()) {
+				out.writeByteArray(RUMOUR, write((inner) -> {
+					inner.writeString(SERVER, rumour.server().value());
+					inner.writeUInt32(PERCENT, rumour.percent());
+					inner.writeUInt64(EVIDENCE_AGE, rumour.age());
+				}));
+			}
 		});
 	}
 
@@ -103,6 +118,7 @@
 		long revisionAge = 0;
 		List<PeerMessage.Heard> members = new ArrayList<>();
 		List<ServerNews> news = new ArrayList<>();
+		List<Rumour> rumours = new ArrayList<>();
 		for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
 			switch (WireFormat.getTagFieldNumber(tag)) {
 				case DOMAIN_NAME -> domains.add(domain(in.readString()));
@@ -112,13 +128,14 @@
 				case MEMBER -> members
 					.add(readPeer(in.readByteArray(), domains, (sender != null) ? sender.peer().address().port() : 0));
 				case NEWS -> news.add(readNews(in.readByteArray()));
+				case RUMOUR -> rumours.add(readRumour(in.readByteArray()));
 				default -> in.skipField(tag);
 			}
 		}
 		if (sender == null || revisionAge < 0) {
 			throw new IOException("The sender or a usable age is missing");
 		}
-		return new PeerMessage(sender.peer(), revision, revisionAge, members, news);
+		return new PeerMessage(sender.peer(), revision, revisionAge, members, news, rumours);
 	}
 
 	private static FailureDomain domain(String text) throws IOException {
@@ -205,6 +222,25 @@
 		return new ServerNews(new BackendServerId(server), ServerNews.Kind.values()[kind]);
 	}
 
+	private static Rumour readRumour(byte[] bytes) throws IOException {
+		CodedInputStream in = CodedInputStream.newInstance(bytes);
+		String server = "";
+		int percent = 0;
+		long age = 0;
+		for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+			switch (WireFormat.getTagFieldNumber(tag)) {
+				case SERVER -> server = in.readString();
+				case PERCENT -> percent = in.readUInt32();
+				case EVIDENCE_AGE -> age = in.readUInt64();
+				default -> in.skipField(tag);
+			}
+		}
+		if (server.isEmpty() || percent < 0 || percent > WHOLE || age < 0) {
+			throw new IOException("A rumour has no server, or figures out of range");
+		}
+		return new Rumour(new BackendServerId(server), percent, age);
+	}
+
 	private static byte[] write(Writer writer) {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		CodedOutputStream out = CodedOutputStream.newInstance(bytes);
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
@@ -162,22 +162,30 @@
 	}
 
 	private void received(long now, PeerMessage message) {
-		boolean newcomer = !this.peers.containsKey(message.sender().address());
 		int before = this.peers.size();
 		heard(message.sender(), now);
 		message.members().forEach((member) -> heard(member.peer(), now - member.age()));
-		if (newcomer && !message.sender().leaving() && message.members().isEmpty() && message.news().isEmpty()) {
-			send(message.sender().address(), named(now, NAMED_TO_NEWCOMER), List.of());
+		if (isNewcomer(message)) {
+			List<PeerMessage.Heard> names = named(now, NAMED_TO_NEWCOMER);
+			if (!names.isEmpty()) {
+				send(message.sender().address(), names, List.of());
+			}
 		}
 		if (this.peers.size() != before) {
 			sizeChanged();
 		}
 		message.news().forEach((news) -> this.effects.add(new RosterEffect.News(news)));
+		message.rumours().forEach((rumour) -> this.effects.add(new RosterEffect.Rumoured(rumour)));
 		if (message.revision() >= 0) {
 			this.effects.add(new RosterEffect.PeerRevision(message.revision(), message.revisionAge()));
 		}
 	}
 
+	/** Returns whether a daemon knows no other one, also when it has only started again. */
+	private static boolean isNewcomer(PeerMessage message) {
+		return !message.sender().leaving() && message.members().isEmpty() && message.news().isEmpty();
+	}
+
 	private void heard(Peer peer, long at) {
 		if (peer.address().equals(this.self.address())) {
 			return;
@@ -227,8 +235,8 @@
 	}
 
 	private void send(HostAddress receiver, List<PeerMessage.Heard> members, List<ServerNews> news) {
-		this.effects.add(new RosterEffect.Send(receiver,
-				new PeerMessage(this.self, this.revision, Math.max(0, this.now - this.confirmedAt), members, news)));
+		this.effects.add(new RosterEffect.Send(receiver, new PeerMessage(this.self, this.revision,
+				Math.max(0, this.now - this.confirmedAt), members, news, List.of()), news.isEmpty()));
 	}
 
 	private void sizeChanged() {
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterEffect.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterEffect.java
@@ -17,8 +17,9 @@
 	 *
 	 * @param receiver the receiver
 	 * @param message the message
+	 * @param greeting whether it is a greeting, which also says what this daemon believes
 	 */
-	record Send(HostAddress receiver, PeerMessage message) implements RosterEffect {
+	record Send(HostAddress receiver, PeerMessage message, boolean greeting) implements RosterEffect {
 	}
 
 	/**
@@ -37,6 +38,14 @@
 	record News(ServerNews news) implements RosterEffect {
 	}
 
+	/**
+	 * A peer told what it believes.
+	 *
+	 * @param rumour what it believes of a suspected server
+	 */
+	record Rumoured(Rumour rumour) implements RosterEffect {
+	}
+
 	/**
 	 * A peer knows a revision of the published state.
 	 *
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -24,6 +24,7 @@
 import org.wigeonmast.balance.follow.FollowEffect;
 import org.wigeonmast.balance.follow.FollowInput;
 import org.wigeonmast.balance.follow.StateFollower;
+import org.wigeonmast.balance.peer.PeerMessage;
 import org.wigeonmast.balance.peer.PeerRoster;
 import org.wigeonmast.balance.peer.RosterEffect;
 import org.wigeonmast.balance.peer.RosterInput;
@@ -100,6 +101,8 @@
 
 	private final StateFollower follower;
 
+	private final BalanceCoordinator coordinator;
+
 	private final ComponentDriver<BalanceInput, BalanceEffect> balance;
 
 	private final ComponentDriver<FollowInput, FollowEffect> following;
@@ -127,8 +130,8 @@
 		this.control = new ControlThread(clock);
 		RandomGenerator random = RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(new SecureRandom().nextLong());
 		this.follower = new StateFollower(random);
-		this.balance = new ComponentDriver<>(this.control,
-				new BalanceCoordinator(settings.home(), settings.balance(), random), this::carryOut);
+		this.coordinator = new BalanceCoordinator(settings.home(), settings.balance(), random);
+		this.balance = new ComponentDriver<>(this.control, this.coordinator, this::carryOut);
 		this.following = new ComponentDriver<>(this.control, this.follower, this::carryOut);
 		this.roster = new ComponentDriver<>(this.control, new PeerRoster(settings.peers(), settings.home(), random),
 				this::carryOut);
@@ -282,11 +285,16 @@
 
 	private void carryOut(RosterEffect effect) {
 		switch (effect) {
-			case RosterEffect.Send send -> this.datagrams.send(send.receiver(), send.message());
+			case RosterEffect.Send send -> {
+				PeerMessage message = send.message();
+				this.datagrams.send(send.receiver(), send.greeting()
+						? message.withRumours(this.coordinator.rumours(this.control.clock().milliseconds())) : message);
+			}
 			case RosterEffect.SizeChanged changed -> {
 				this.balance.handle(new BalanceInput.FleetSize(changed.daemons()));
 				this.proxy.setLiveDaemons(changed::daemons);
 			}
+			case RosterEffect.Rumoured rumoured -> this.balance.handle(new BalanceInput.Rumoured(rumoured.rumour()));
 			case RosterEffect.News news -> this.balance.handle(new BalanceInput.Told(news.news()));
 			case RosterEffect.PeerRevision peer -> {
 				this.following.handle(new FollowInput.PeerRevision(peer.revision(), peer.age()));
