Test whole responses, foreign answers and callers that leave

Tests of the proxy with other names of header fields: a foreign answer is skipped and its connection not reused; a success without proof, with an encoding, or cut at any length is replaced by 502; a caller that leaves behind pipelined requests is noticed.

--- /dev/null
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/VocabularyTests.java
@@ -0,0 +1,192 @@
+package org.wigeonmast.proxy;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.dispatch.AttemptReport;
+import org.wigeonmast.dispatch.RequestEvent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Tests of a proxy with other names of header fields and with whole responses. */
+class VocabularyTests {
+
+	private static final HeaderVocabulary NAMES = new HeaderVocabulary("Try-Id", "Time-Left", null, null, null,
+			"Not-Run", null, null, "For-Server", "Proof", true, false, true);
+
+	private static final String GET = "GET /s HTTP/1.1\r\nHost: h\r\nTry-Id: t1\r\nTime-Left: 5000\r\n\r\n";
+
+	private static final String OK = "HTTP/1.1 200 OK\r\nTry-Id: t1\r\nProof: p\r\nContent-Length: 2\r\n\r\nok";
+
+	private static final String FOREIGN = "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\nContent-Length: 5\r\n\r\nother";
+
+	// Guards against an answer to an earlier request that a caller gets as its own.
+	@Test
+	void foreignAnswerIsSkippedAndTheOwnOneDelivered() throws Exception {
+		String answer = exchange(FOREIGN + OK);
+		assertThat(answer).startsWith("HTTP/1.1 200 ");
+		assertThat(answer).endsWith("ok");
+	}
+
+	// Guards against a connection that is used again after it showed a foreign answer.
+	@Test
+	void connectionWithAForeignAnswerIsNotReused() throws Exception {
+		AtomicInteger connections = new AtomicInteger();
+		ScriptedServer.Script script = (connection) -> {
+			int number = connections.incrementAndGet();
+			while (true) {
+				connection.readMessage();
+				connection.write((number == 1) ? FOREIGN + OK : OK);
+			}
+		};
+		try (ScriptedServer backend = new ScriptedServer(script);
+				TestProxy proxy = proxy(backend);
+				RawConnection caller = proxy.connect()) {
+			for (int i = 0; i < 2; i++) {
+				caller.write(GET);
+				assertThat(caller.readMessage()).endsWith("ok");
+			}
+			assertThat(connections.get()).isEqualTo(2);
+		}
+	}
+
+	// Guards against a success that no backend server vouches for.
+	@Test
+	void successWithoutProofIsNotRelayed() throws Exception {
+		assertThat(exchange("HTTP/1.1 200 OK\r\nTry-Id: t1\r\nContent-Length: 2\r\n\r\nok"))
+			.startsWith("HTTP/1.1 502 ");
+	}
+
+	// Guards against a body in an encoding that the caller did not ask for.
+	@Test
+	void encodedBodyIsNotRelayed() throws Exception {
+		assertThat(exchange(OK.replace("Proof: p", "Proof: p\r\nContent-Encoding: gzip"))).startsWith("HTTP/1.1 502 ");
+	}
+
+	// Guards against a part of an answer that looks like the whole, at every length.
+	@Test
+	void answerThatEndsEarlyIsReplaced() throws Exception {
+		for (int length = 1; length < OK.length(); length++) {
+			String cut = OK.substring(0, length);
+			ScriptedServer.Script script = (connection) -> {
+				connection.readMessage();
+				connection.write(cut);
+				connection.close();
+			};
+			try (ScriptedServer backend = new ScriptedServer(script);
+					TestProxy proxy = proxy(backend);
+					RawConnection caller = proxy.connect()) {
+				caller.write(GET);
+				assertThat(caller.readMessage()).startsWith("HTTP/1.1 502 ");
+			}
+		}
+	}
+
+	// Guards against giving up an answer that has no length and ends with its connection.
+	@Test
+	void answerWithoutLengthIsRelayedWhenItsConnectionEnds() throws Exception {
+		ScriptedServer.Script script = (connection) -> {
+			connection.readMessage();
+			connection.write("HTTP/1.1 200 OK\r\nTry-Id: t1\r\nProof: p\r\n\r\nwhole");
+			connection.close();
+		};
+		try (ScriptedServer backend = new ScriptedServer(script);
+				TestProxy proxy = proxy(backend);
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET);
+			assertThat(caller.readHead()).startsWith("HTTP/1.1 200 ");
+		}
+	}
+
+	// Guards against a request that says for whom it is and reaches another server.
+	@Test
+	void requestNamesItsServerAndKeepsItsId() throws Exception {
+		CompletableFuture<String> received = new CompletableFuture<>();
+		ScriptedServer.Script script = (connection) -> {
+			received.complete(connection.readMessage());
+			connection.write(OK);
+		};
+		try (ScriptedServer backend = new ScriptedServer(script);
+				TestProxy proxy = proxy(backend);
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET);
+			caller.readMessage();
+			String request = received.get(10, TimeUnit.SECONDS);
+			assertThat(RawConnection.header(request, "for-server")).isEqualTo("board-1");
+			assertThat(RawConnection.header(request, "try-id")).isEqualTo("t1");
+			assertThat(Long.parseLong(RawConnection.header(request, "time-left"))).isAtMost(5000);
+			assertThat(RawConnection.header(request, "via")).isEmpty();
+		}
+	}
+
+	// Guards against a statement that a request was not run which nobody takes up.
+	@Test
+	void statedNotRunIsReportedWithAnyStatus() throws Exception {
+		String[] answers = { "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+				"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" };
+		for (String answer : answers) {
+			try (ScriptedServer backend = ScriptedServer.answering(answer);
+					TestProxy proxy = proxy(backend);
+					RawConnection caller = proxy.connect()) {
+				caller.write(GET);
+				assertThat(proxy.nextReport(AttemptReport.ResponseStarted.class).notRun()).isTrue();
+			}
+		}
+	}
+
+	// Guards against work for a caller that left behind requests that it had sent ahead.
+	@Test
+	void callerThatLeavesBehindPipelinedRequestsIsNoticed() throws Exception {
+		ScriptedServer.Script silent = RawConnection::readAll;
+		try (ScriptedServer backend = new ScriptedServer(silent); TestProxy proxy = proxy(backend)) {
+			RawConnection caller = proxy.connect();
+			caller.write(GET + GET + GET);
+			proxy.next(RequestEvent.Accepted.class);
+			caller.close();
+			assertThat(proxy.next(RequestEvent.CallerLeft.class)).isNotNull();
+		}
+	}
+
+	// Guards against pipelined answers that are lost or change places.
+	@Test
+	void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+		ScriptedServer.Script script = (connection) -> {
+			while (true) {
+				String id = RawConnection.header(connection.readMessage(), "try-id");
+				connection.write(OK.replace("t1", id));
+			}
+		};
+		try (ScriptedServer backend = new ScriptedServer(script);
+				TestProxy proxy = proxy(backend);
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET.replace("t1", "a") + GET.replace("t1", "b") + GET.replace("t1", "c"));
+			for (String id : new String[] { "a", "b", "c" }) {
+				assertThat(RawConnection.header(caller.readMessage(), "try-id")).isEqualTo(id);
+			}
+		}
+	}
+
+	private static String exchange(String answer) throws Exception {
+		try (ScriptedServer backend = ScriptedServer.answering(answer);
+				TestProxy proxy = proxy(backend);
+				RawConnection caller = proxy.connect()) {
+			caller.write(GET);
+			return caller.readMessage();
+		}
+	}
+
+	private static TestProxy proxy(ScriptedServer backend) throws ProxyStartException {
+		UnaryOperator<ProxyConfiguration> change = (usual) -> {
+			ProxyConfiguration.Limits sizes = usual.limits();
+			return new ProxyConfiguration(usual.bindAddress(), usual.daemonName(), usual.callerConnections(),
+					new ProxyConfiguration.Limits(sizes.requestLine(), sizes.headers(), sizes.body(),
+							sizes.replayableBody(), sizes.replayableBodies(), sizes.unsentBytes(), 1 << 20),
+					usual.timeouts(), NAMES);
+		};
+		return new TestProxy(backend.description(4), change);
+	}
+
+}
