--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -236,7 +236,7 @@
 		}
 	}
 
-	/** Sends a request to a server that it was not sent to before, if there is one. */
+	// Sends a request to a server that it was not sent to before, if there is one.
 	private boolean send(long now, BalancedRequest request) {
 		RequestDescription description = request.description;
 		ServerState server = this.choice.choose(now, service(description.service()).servers(), request.tried,
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
@@ -178,7 +178,7 @@
 		this.effects.add(new FollowEffect.ReadState());
 	}
 
-	/** Returns when a watch that nothing confirms is to be started again. */
+	// Returns when a watch that nothing confirms is to be started again.
 	private long confirmationDue() {
 		return (this.watchedAt == NO_TIMER) ? NO_TIMER : Math.max(this.confirmedAt, this.watchedAt) + UNCONFIRMED;
 	}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
@@ -113,7 +113,7 @@
 		return best;
 	}
 
-	/** Returns the most suspected servers, of which suspicion is believed in full. */
+	// Returns the most suspected servers, of which suspicion is believed in full.
 	private Set<ServerState> believed(long now, List<ServerState> usable) {
 		int spare = (int) Math.ceil(usable.size() * this.spareShare);
 		Comparator<ServerState> mostSuspected = Comparator
@@ -140,7 +140,7 @@
 		return cost + (server.isUnreachable(now) ? UNREACHABLE : 0);
 	}
 
-	/** Returns a number of the Gumbel distribution, which makes the choice a soft one. */
+	// Returns a number of the Gumbel distribution, which makes the choice a soft one.
 	private double noise() {
 		return -Math.log(-Math.log(Math.max(Double.MIN_NORMAL, this.random.nextDouble())));
 	}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
@@ -181,9 +181,7 @@
 		}
 	}
 
-	/**
-	 * Returns whether a daemon knows no other one, also when it has only started again.
-	 */
+	// Returns whether a daemon knows no other one, also when it has only started again.
 	private static boolean isNewcomer(PeerMessage message) {
 		return !message.sender().leaving() && message.members().isEmpty() && message.news().isEmpty();
 	}
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerMessageCodecTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerMessageCodecTests.java
@@ -6,7 +6,6 @@
 import java.util.Random;
 
 import com.google.common.truth.Truth;
-import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.wigeonmast.balance.BalanceFixtures;
 import org.wigeonmast.core.BackendServerId;
@@ -42,7 +41,13 @@
 	/** Guards against a sender that nobody could answer. */
 	@Test
 	void messageWithoutSenderIsRefused() {
-		Assertions.assertThrows(IOException.class, () -> PeerMessageCodec.decode(new byte[0]));
+		try {
+			PeerMessageCodec.decode(new byte[0]);
+			Truth.assertWithMessage("a message without sender was decoded").fail();
+		}
+		catch (IOException exception) {
+			Truth.assertThat(exception).hasMessageThat().contains("sender");
+		}
 	}
 
 	private static void decodeOrRefuse(byte[] bytes) {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -372,7 +372,7 @@
 		this.exchange.relayLast(this, content.content());
 	}
 
-	/** Returns the connection after the whole response was received. */
+	// Returns the connection after the whole response was received.
 	private void giveBack() {
 		BackendConnection used = this.connection;
 		this.connection = null;
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -32,9 +32,9 @@
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.EventLog;
+import org.wigeonmast.proxy.HeaderVocabulary;
 import org.wigeonmast.proxy.ProxyConfiguration;
 import org.wigeonmast.proxy.ProxyEvent;
-import org.wigeonmast.proxy.HeaderVocabulary;
 
 /**
  * Connection of a caller, whose requests are served one at a time in order.
@@ -157,7 +157,7 @@
 		}
 	}
 
-	/** Handles messages that were read ahead as far as they are asked for. */
+	// Handles messages that were read ahead as far as they are asked for.
 	private void pump() {
 		if (this.pumping) {
 			return;
@@ -396,10 +396,8 @@
 		}
 	}
 
-	/**
-	 * Closes this side and discards what the caller still sends, because closing while
-	 * bytes are unread would reset the connection and could destroy the response.
-	 */
+	// Closes this side and discards what the caller still sends, because closing while
+	// bytes are unread would reset the connection and could destroy the response.
 	private void linger() {
 		this.state = State.CLOSING;
 		this.since = now();
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
@@ -14,8 +14,8 @@
 import org.wigeonmast.dispatch.AttemptReport;
 import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.dispatch.RequestEvent;
-import org.wigeonmast.proxy.ProxyEvent;
 import org.wigeonmast.proxy.HeaderVocabulary;
+import org.wigeonmast.proxy.ProxyEvent;
 
 /**
  * One request of a caller from its head to the end of its answer.
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestHeadChecks.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestHeadChecks.java
@@ -11,8 +11,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
-import org.wigeonmast.proxy.ProxyConfiguration;
 import org.wigeonmast.proxy.HeaderVocabulary;
+import org.wigeonmast.proxy.ProxyConfiguration;
 
 /**
  * Checks on the head of a request that the decoder leaves to its user.
--- a/wigeonmast-settings/src/test/java/org/wigeonmast/settings/SettingsPagesTests.java
+++ b/wigeonmast-settings/src/test/java/org/wigeonmast/settings/SettingsPagesTests.java
@@ -16,7 +16,7 @@
 class SettingsPagesTests {
 
 	private static List<String[]> referenceRows() throws Exception {
-		String page = Files.readString(Path.of("../docs/operators.md"));
+		String page = Files.readString(Path.of("../docs/OPERATIONS.md"));
 		String reference = page.substring(page.indexOf("| Section | Key"), page.indexOf("Make a key with"));
 		return reference.lines()
 			.skip(2)
--- a/wigeonmast-verification/src/test/java/org/wigeonmast/verification/ArchitectureTests.java
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/ArchitectureTests.java
@@ -6,7 +6,6 @@
 import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
-import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
 import org.junit.jupiter.api.Test;
 import org.wigeonmast.core.Component;
@@ -18,13 +17,12 @@
 
 	/** The modules in the order of section 2.1 of the design page. */
 	private static final List<String> MODULES = List.of("core", "testing", "settings", "manifest", "membership",
-			"health", "dispatch", "limit", "wire", "proxy", "admin", "daemon", "cli", "bench");
+			"health", "dispatch", "limit", "wire", "balance", "proxy", "admin", "daemon", "platform", "cli", "bench");
 
 	private static final String[] COMPONENT_PACKAGES = { within("membership"), within("health"), within("dispatch"),
-			within("limit"), ROOT + "manifest.follow.." };
+			within("limit"), within("balance"), ROOT + "manifest.follow.." };
 
-	private static final JavaClasses CLASSES = new ClassFileImporter()
-		.withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+	private static final JavaClasses CLASSES = new ClassFileImporter().withImportOption(new ProductClasses())
 		.importPackages("org.wigeonmast");
 
 	/** Guards against cycles and against dependencies that the design does not have. */
--- a/wigeonmast-verification/src/test/java/org/wigeonmast/verification/EventCatalogueTests.java
+++ b/wigeonmast-verification/src/test/java/org/wigeonmast/verification/EventCatalogueTests.java
@@ -9,7 +9,6 @@
 
 import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
-import com.tngtech.archunit.core.importer.ImportOption;
 import org.junit.jupiter.api.Test;
 import org.wigeonmast.core.EventDefinition;
 
@@ -59,7 +58,7 @@
 	}
 
 	private static List<EventDefinition> events() {
-		return new ClassFileImporter().withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+		return new ClassFileImporter().withImportOption(new ProductClasses())
 			.importPackages("org.wigeonmast")
 			.stream()
 			.filter((type) -> type.isEnum() && type.isAssignableTo(EventDefinition.class))
