Log through a small backend and rehearse a request

Cause: of 1.06 s for a start with the archive, Log4j Core took 0.5 s, and the classes of the first request were not in the archive.

Change: a backend of Log4j's API of 200 lines writes the same JSON lines through a bounded queue, which drops and counts; the build's rehearsal sends a request.

--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -29,6 +29,7 @@
 import org.wigeonmast.balance.peer.RosterEffect;
 import org.wigeonmast.balance.peer.RosterInput;
 import org.wigeonmast.core.EventLog;
+import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.core.RequestOutcome;
 import org.wigeonmast.core.WigeonmastException;
@@ -143,10 +144,11 @@
 
 	/**
 	 * Starts to listen and to follow the published state.
+	 * @return where it listens for callers
 	 * @throws WigeonmastException if an address cannot be bound
 	 */
-	public void start() throws WigeonmastException {
-		this.proxy.start();
+	public HostAddress start() throws WigeonmastException {
+		HostAddress listening = this.proxy.start();
 		this.datagrams.start();
 		StatusServer.listen(this.group, this.settings.readiness(), this::status);
 		StatusServer.listen(this.group, this.settings.metrics(), this::status);
@@ -156,6 +158,7 @@
 		});
 		this.log.log(DaemonEvent.STARTED, this.settings.name(), this.settings.callers(), this.settings.peers(),
 				this.settings.readiness());
+		return listening;
 	}
 
 	/**
--- /dev/null
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/log/LineQueue.java
@@ -0,0 +1,97 @@
+package org.wigeonmast.daemon.log;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Lines that wait to be written by a thread of their own.
+ * <p>
+ * Thread safety: usable from any thread. Invariants: adding a line never blocks; a line
+ * that finds the queue full is dropped and counted, and the count is written with the
+ * next lines.
+ */
+final class LineQueue implements AutoCloseable {
+
+	/** Number of lines that may wait. */
+	static final int CAPACITY = 4096;
+
+	private static final String END = "";
+
+	private static final long CLOSE_MILLISECONDS = 500;
+
+	private final BlockingQueue<String> lines;
+
+	private final AtomicLong dropped = new AtomicLong();
+
+	private final OutputStream out;
+
+	private final Thread writer;
+
+	LineQueue(OutputStream out, int capacity) {
+		this.out = out;
+		this.lines = new ArrayBlockingQueue<>(capacity);
+		this.writer = new Thread(this::write, "log");
+		this.writer.setDaemon(true);
+		this.writer.start();
+	}
+
+	/**
+	 * Adds a line.
+	 * @param line the line without its end
+	 */
+	void add(String line) {
+		if (!this.lines.offer(line)) {
+			this.dropped.incrementAndGet();
+		}
+	}
+
+	/** Writes what waits, for a bounded time. */
+	@Override
+	public void close() {
+		try {
+			this.lines.offer(END);
+			this.writer.join(CLOSE_MILLISECONDS);
+		}
+		catch (InterruptedException exception) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void write() {
+		List<String> batch = new ArrayList<>();
+		boolean ended = false;
+		try {
+			while (!ended) {
+				batch.add(this.lines.take());
+				this.lines.drainTo(batch);
+				StringBuilder text = new StringBuilder();
+				for (String line : batch) {
+					ended |= line.isEmpty();
+					text.append(line).append(line.isEmpty() ? "" : "\n");
+				}
+				long lost = this.dropped.getAndSet(0);
+				if (lost > 0) {
+					text.append("{\"level\":\"WARN\",\"entry\":{\"name\":\"LINES_DROPPED\",\"message\":\"")
+						.append(lost)
+						.append(" log lines were dropped, standard output is not read\"}}\n");
+				}
+				this.out.write(text.toString().getBytes(StandardCharsets.UTF_8));
+				batch.clear();
+			}
+		}
+		catch (InterruptedException exception) {
+			Thread.currentThread().interrupt();
+		}
+		catch (IOException exception) {
+			// Nobody reads standard output any more, so there is nowhere to tell it.
+			this.dropped.incrementAndGet();
+		}
+	}
+
+}
