--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -51,12 +51,12 @@
 	private static final double SECOND_SEND_AT = 0.55;
 
 	/** Time in milliseconds that a refused caller is told to wait, at least. */
-	private static final long RETRY_AFTER = 150;
+	private static final long RETRY_AFTER = 50;
 
 	/**
 	 * Spread in milliseconds of that time, so that refused callers do not return at once.
 	 */
-	private static final int RETRY_AFTER_SPREAD = 300;
+	private static final int RETRY_AFTER_SPREAD = 150;
 
 	private static final int DEFAULT_CONNECTIONS = 100;
 
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
@@ -37,8 +37,11 @@
 
 	private static final double OTHER_REGION_LONG = 3;
 
-	/** Cost of a failure that another server can make good. */
-	private static final double REPEATABLE_FAILURE = 0.5;
+	/**
+	 * Cost of a failure of short work that another server can make good. Long work has no
+	 * such discount: the other server is mostly a distant one.
+	 */
+	private static final double REPEATABLE_FAILURE = 0.7;
 
 	private static final double IN_FLIGHT = 0.25;
 
@@ -93,6 +96,7 @@
 			}
 		}
 		Set<ServerState> believed = believed(now, usable);
+		boolean cheap = idempotent && workClass == WorkClass.SHORT;
 		ServerState best = null;
 		double lowest = Double.POSITIVE_INFINITY;
 		for (ServerState server : usable) {
@@ -103,7 +107,7 @@
 			if (!believed.contains(server)) {
 				failing = Math.min(failing, BELIEVED_OF_OTHERS);
 			}
-			double cost = failing * (idempotent ? REPEATABLE_FAILURE : 1) + distance(server, workClass)
+			double cost = failing * (cheap ? REPEATABLE_FAILURE : 1) + distance(server, workClass)
 					+ condition(now, server) - SPREAD * noise();
 			if (cost < lowest) {
 				lowest = cost;
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/ServerChoiceTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/ServerChoiceTests.java
@@ -58,6 +58,20 @@
 		Truth.assertThat(share.getOrDefault("s0", 0.0) + share.getOrDefault("s1", 0.0)).isGreaterThan(0.99);
 	}
 
+	/** Guards against large answers that fail at the near server for a whole spell. */
+	@Test
+	void longWorkLeavesASuspectedServerOfItsFailureDomain() {
+		add(1, BalanceFixtures.HOME);
+		add(3, BalanceFixtures.NEAR);
+		this.servers.getFirst().observe(0, ServerNews.Kind.FAILED);
+		int near = 0;
+		for (int i = 0; i < CHOICES; i++) {
+			ServerState chosen = this.choice.choose(0, this.servers, Set.of(), WorkClass.LONG, true);
+			near += (chosen != this.servers.getFirst()) ? 1 : 0;
+		}
+		Truth.assertThat(near).isGreaterThan(CHOICES * 95 / 100);
+	}
+
 	/** Guards against a service whose only servers are in another region. */
 	@Test
 	void distantServerIsUsedWhenThereIsNoOther() {
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -73,7 +73,10 @@
 	/** Time in milliseconds between the last forced end and the limit of a stop. */
 	private static final long STOP_MARGIN = 300;
 
-	private static final long RETRY_AFTER = 300;
+	/**
+	 * Time in milliseconds after which a caller that came too early finds another daemon.
+	 */
+	private static final long RETRY_AFTER = 80;
 
 	private static final CallerLimits LIMITS_BEFORE_CONFIGURATION = new CallerLimits(16 * 1024, 64L << 20, 3000,
 			15_000);
