--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -58,6 +58,11 @@
 	 */
 	private static final int RETRY_AFTER_SPREAD = 150;
 
+	/**
+	 * Multiple of the target latency after which an unanswered request counts as failed.
+	 */
+	private static final long HOPELESS = 2;
+
 	private static final int DEFAULT_CONNECTIONS = 100;
 
 	/** Probability from which peers are told what this daemon believes. */
@@ -230,7 +235,7 @@
 	private void accepted(long now, RequestDescription description) {
 		BalancedRequest request = new BalancedRequest(now, description);
 		this.requests.put(description.id(), request);
-		service(description.service()).allowance().requestAccepted();
+		service(description.service()).requestAccepted(now);
 		if (!send(now, request)) {
 			refuse(now, request, NO_SERVER);
 		}
@@ -239,8 +244,9 @@
 	// Sends a request to a server that it was not sent to before, if there is one.
 	private boolean send(long now, BalancedRequest request) {
 		RequestDescription description = request.description;
-		ServerState server = this.choice.choose(now, service(description.service()).servers(), request.tried,
-				description.workClass(), request.repeatable());
+		ServiceState service = service(description.service());
+		ServerState server = this.choice.choose(now, service.servers(), request.tried, description.workClass(),
+				request.repeatable(), service.busySlots(now, this.daemons));
 		if (server == null || request.lastAttempt >= MOST_CONNECTS) {
 			return false;
 		}
@@ -348,6 +354,7 @@
 
 	private void completed(long now, BalancedRequest request, Sending sending, int status) {
 		ServerState server = sending.server();
+		service(request.description.service()).answered(now - sending.startedAt());
 		if (status >= SERVER_ERROR) {
 			observe(now, server, ServerNews.Kind.FAILED);
 		}
@@ -365,7 +372,7 @@
 	private void broken(long now, BalancedRequest request, Sending sending, AttemptReport.Broken broken) {
 		request.possiblyRun = true;
 		remove(request, sending);
-		observe(now, sending.server(), ServerNews.Kind.FAILED);
+		observeBroken(now, request, sending, broken.timedOut());
 		if (broken.responseStarted()) {
 			log(BalanceEvent.GIVEN_UP, request.description.shownId(), now - request.acceptedAt, request.lastAttempt,
 					request.lastServer, broken.reason());
@@ -379,6 +386,18 @@
 		}
 	}
 
+	// A server is not to blame for a time limit that is short for the work.
+	private void observeBroken(long now, BalancedRequest request, Sending sending, boolean timedOut) {
+		long target = request.description.plan().targetLatency();
+		long elapsed = now - sending.startedAt();
+		if (!timedOut || elapsed / HOPELESS >= target) {
+			observe(now, sending.server(), ServerNews.Kind.FAILED);
+		}
+		else if (elapsed >= target) {
+			observe(now, sending.server(), ServerNews.Kind.OVERDUE);
+		}
+	}
+
 	private boolean sendAgain(long now, BalancedRequest request, boolean allowed) {
 		return allowed && request.attempts.isEmpty() && hasOther(request) && mayRepeat(request) && send(now, request);
 	}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerChoice.java
@@ -59,6 +59,12 @@
 	/** Share of servers that may be failing at a time; the others count as sound. */
 	private static final double FAILING_SHARE = 0.2;
 
+	/**
+	 * Utilization above which suspected servers are used again rather than the others
+	 * filled.
+	 */
+	private static final double MOST_UTILIZATION = 0.75;
+
 	private final FailureDomain home;
 
 	private final double spareShare;
@@ -85,17 +91,18 @@
 	 * @param tried the servers that the request was sent to, which are not chosen again
 	 * @param workClass the class of the request
 	 * @param idempotent whether the request may be sent to another server after a failure
+	 * @param busySlots the number of slots that the fleet uses
 	 * @return the server, or {@code null} if there is none
 	 */
 	public @Nullable ServerState choose(long now, Collection<ServerState> servers, Set<BackendServerId> tried,
-			WorkClass workClass, boolean idempotent) {
+			WorkClass workClass, boolean idempotent, double busySlots) {
 		List<ServerState> usable = new ArrayList<>(servers.size());
 		for (ServerState server : servers) {
 			if (server.isUsable()) {
 				usable.add(server);
 			}
 		}
-		Set<ServerState> believed = believed(now, usable);
+		Set<ServerState> believed = believed(now, usable, busySlots);
 		boolean cheap = idempotent && workClass == WorkClass.SHORT;
 		ServerState best = null;
 		double lowest = Double.POSITIVE_INFINITY;
@@ -118,8 +125,10 @@
 	}
 
 	// Returns the most suspected servers, of which suspicion is believed in full.
-	private Set<ServerState> believed(long now, List<ServerState> usable) {
-		int spare = (int) Math.ceil(usable.size() * this.spareShare);
+	private Set<ServerState> believed(long now, List<ServerState> usable, double busySlots) {
+		int slots = usable.stream().mapToInt((server) -> server.record().slots()).sum();
+		double needed = usable.size() * busySlots / (MOST_UTILIZATION * Math.max(1, slots));
+		int spare = (int) Math.ceil(Math.min(usable.size() * this.spareShare, Math.max(0, usable.size() - needed)));
 		Comparator<ServerState> mostSuspected = Comparator
 			.comparingDouble((server) -> -server.suspicion().probability(now));
 		return usable.stream().sorted(mostSuspected).limit(spare).collect(Collectors.toSet());
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
@@ -21,11 +21,11 @@
 
 	private static final int MOST_DOUBLINGS = 3;
 
-	private static final double FAILED_WEIGHT = 4.5;
+	private static final double FAILED_WEIGHT = 3.7;
 
-	private static final double OVERDUE_WEIGHT = 1.8;
+	private static final double OVERDUE_WEIGHT = 1.2;
 
-	private static final double SERVED_WEIGHT = -1.5;
+	private static final double SERVED_WEIGHT = -1.8;
 
 	private static final double UNREACHABLE_WEIGHT = 0.8;
 
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServiceState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServiceState.java
@@ -17,8 +17,23 @@
 
 	private final Map<BackendServerId, ServerState> servers = new LinkedHashMap<>();
 
+	/** Time in milliseconds over which the load is averaged. */
+	private static final double LOAD_MILLISECONDS = 4000;
+
+	/** Share of recent durations in their average. */
+	private static final double DURATION_SHARE = 0.1;
+
+	/** Duration in milliseconds that is assumed before any is known. */
+	private static final double FIRST_DURATION = 150;
+
 	private final RetryAllowance allowance;
 
+	private double arrivals;
+
+	private long arrivalsAt;
+
+	private double duration = FIRST_DURATION;
+
 	/**
 	 * Creates the state of a service without servers.
 	 * @param settings the settings
@@ -28,6 +43,38 @@
 		this.allowance = new RetryAllowance(settings, daemons);
 	}
 
+	/**
+	 * Counts a request of a caller.
+	 * @param now the monotonic time in milliseconds
+	 */
+	public void requestAccepted(long now) {
+		this.allowance.requestAccepted();
+		this.arrivals = arrivals(now) + 1;
+		this.arrivalsAt = now;
+	}
+
+	/**
+	 * Notes how long a server took for a request.
+	 * @param milliseconds the time
+	 */
+	public void answered(long milliseconds) {
+		this.duration += DURATION_SHARE * (milliseconds - this.duration);
+	}
+
+	/**
+	 * Estimates how many slots the fleet uses, from the requests that this daemon gets.
+	 * @param now the monotonic time in milliseconds
+	 * @param daemons the number of live daemons
+	 * @return the number of slots
+	 */
+	public double busySlots(long now, int daemons) {
+		return arrivals(now) / LOAD_MILLISECONDS * this.duration * daemons;
+	}
+
+	private double arrivals(long now) {
+		return this.arrivals * Math.exp((this.arrivalsAt - now) / LOAD_MILLISECONDS);
+	}
+
 	public RetryAllowance allowance() {
 		return this.allowance;
 	}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/Suspicion.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/Suspicion.java
@@ -3,27 +3,43 @@
 /**
  * How likely a backend server is to be in a spell of failing requests.
  * <p>
- * Thread safety: none. Each observation multiplies the odds by its likelihood ratio;
- * between observations the probability relaxes towards its value at rest, because spells
- * end by themselves. Invariant: the probability lies between rest and {@link #HIGHEST}.
+ * Thread safety: none. Each observation multiplies the odds by its likelihood ratio.
+ * Between observations a suspected server, which gets no requests, relaxes towards the
+ * share of servers that are in a spell at any time; below that, requests flow and
+ * failures are told at once, so that no news is evidence of soundness. Invariant: the
+ * probability lies between {@link #LOWEST} and {@link #HIGHEST}.
  */
 public final class Suspicion {
 
-	/** Probability without evidence. */
-	private static final double REST = 0.08;
+	/** Probability without any evidence, of a server that was never used. */
+	private static final double UNKNOWN = 0.08;
+
+	/** Probability of a server that is used and of which no failure is told. */
+	private static final double LOWEST = 0.03;
+
+	/** Share of servers that are in a spell, to which the probability relaxes. */
+	private static final double SPELL_SHARE = 0.2;
+
+	/** Probability from which a server is avoided, so that silence says nothing. */
+	private static final double AVOIDED = 0.25;
 
 	/** Bound that lets a few successes clear a server of many failures. */
 	private static final double HIGHEST = 0.97;
 
-	/** Time in milliseconds in which the distance to rest falls to about a third. */
-	private static final double RELAXATION_MILLISECONDS = 6000;
+	/**
+	 * Time in milliseconds in which the distance falls to about a third while avoided.
+	 */
+	private static final double AVOIDED_MILLISECONDS = 3000;
+
+	/** Time in milliseconds in which the distance falls to about a third while used. */
+	private static final double USED_MILLISECONDS = 4000;
 
 	/** Probability from which a server counts as suspected. */
 	private static final double SUSPECTED = 0.4;
 
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
-	private double probability = REST;
+	private double probability = UNKNOWN;
 
 	private long updatedAt;
 
@@ -64,7 +80,17 @@
 	 * @return the probability
 	 */
 	public double probability(long now) {
-		return REST + (this.probability - REST) * Math.exp((this.updatedAt - now) / RELAXATION_MILLISECONDS);
+		double elapsed = now - this.updatedAt;
+		double start = this.probability;
+		if (start > AVOIDED) {
+			double avoidedFor = AVOIDED_MILLISECONDS * Math.log((start - SPELL_SHARE) / (AVOIDED - SPELL_SHARE));
+			if (elapsed < avoidedFor) {
+				return relax(start, SPELL_SHARE, elapsed / AVOIDED_MILLISECONDS);
+			}
+			elapsed -= avoidedFor;
+			start = AVOIDED;
+		}
+		return relax(start, LOWEST, elapsed / USED_MILLISECONDS);
 	}
 
 	/**
@@ -85,8 +111,12 @@
 		return (this.evidenceAt == NEVER) ? -1 : now - this.evidenceAt;
 	}
 
+	private static double relax(double from, double to, double times) {
+		return to + (from - to) * Math.exp(-times);
+	}
+
 	private void set(long now, double value) {
-		this.probability = Math.clamp(value, REST, HIGHEST);
+		this.probability = Math.clamp(value, LOWEST, HIGHEST);
 		this.updatedAt = now;
 	}
 
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/BalanceCoordinatorTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/BalanceCoordinatorTests.java
@@ -155,6 +155,17 @@
 		Truth.assertThat(starts().stream().map((start) -> start.server().id()).toList()).contains(id);
 	}
 
+	/**
+	 * Guards against suspecting a server whose route allows too little time for the work.
+	 */
+	@Test
+	void shortTimeLimitIsNotHeldAgainstTheServer() {
+		accept("r", false);
+		this.now += 300;
+		report("r", 1, new AttemptReport.Broken(false, true, "timed out"));
+		Truth.assertThat(this.told).isEmpty();
+	}
+
 	/** Guards against a request that waits in vain when there is no server. */
 	@Test
 	void requestWithoutAnyServerIsRefusedAtOnce() {
