--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceSettings.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceSettings.java
@@ -6,8 +6,8 @@
  * Thread safety: immutable.
  *
  * @param retryRatio the second sends that a service may get, as a share of its requests
- * @param retrySlack the second sends that a service may get besides over
- * {@code retryWindow}, summed over the whole fleet
+ * @param retrySlack the second sends that a service may get besides in a window of some
+ * seconds, summed over the whole fleet
  * @param servedShare the smallest share of a service's sound servers that stays in use
  */
 public record BalanceSettings(double retryRatio, double retrySlack, double servedShare) {
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
@@ -29,7 +29,7 @@
 
 	private static final double UNREACHABLE_WEIGHT = 0.8;
 
-	private final Suspicion suspicion = new Suspicion();
+	private final Suspicion suspicion;
 
 	private ServerRecord record;
 
@@ -56,6 +56,7 @@
 	 */
 	public ServerState(long now, ServerRecord record) {
 		this.record = record;
+		this.suspicion = new Suspicion(now);
 		this.warmUntil = now + record.warmup();
 	}
 
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/Suspicion.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/Suspicion.java
@@ -45,6 +45,14 @@
 
 	private long evidenceAt = NEVER;
 
+	/**
+	 * Creates the suspicion of a server without evidence.
+	 * @param now the monotonic time in milliseconds
+	 */
+	public Suspicion(long now) {
+		this.updatedAt = now;
+	}
+
 	/**
 	 * Adds an observation.
 	 * @param now the monotonic time in milliseconds
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/SuspicionTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/SuspicionTests.java
@@ -8,7 +8,7 @@
 
 	private static final double FAILED = 3.7;
 
-	private final Suspicion suspicion = new Suspicion();
+	private final Suspicion suspicion = new Suspicion(0);
 
 	/**
 	 * Guards against waiting for a second sample, which comes after the trouble is over.
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -71,7 +71,7 @@
 	private static final long IDLE_WHILE_STOPPING = 2500;
 
 	/** Time in milliseconds between the last forced end and the limit of a stop. */
-	private static final long STOP_MARGIN = 300;
+	private static final long STOP_MARGIN = 800;
 
 	/**
 	 * Time in milliseconds after which a caller that came too early finds another daemon.
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/FleetShell.java
@@ -138,10 +138,6 @@
 		return this.follower.inForce();
 	}
 
-	List<PlatformHost> hosts() {
-		return this.hosts;
-	}
-
 	boolean isReady() {
 		return this.follower.isReady();
 	}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -73,19 +73,6 @@
 
 	private volatile IntSupplier liveDaemons = () -> 1;
 
-	/**
-	 * Creates a proxy that does not listen yet and whose metrics nobody reads.
-	 * @param configuration the configuration
-	 * @param clock the clock, which must be the one that dispatch uses for deadlines
-	 * @param manifests supplies the manifest in force, or {@code null} while there is
-	 * none
-	 * @param events takes the events on the traffic thread
-	 */
-	public ProxyServer(ProxyConfiguration configuration, MillisecondClock clock, Supplier<@Nullable Manifest> manifests,
-			Consumer<RequestEvent> events) {
-		this(configuration, clock, manifests, events, new MetricRegistry());
-	}
-
 	/**
 	 * Creates a proxy that does not listen yet.
 	 * @param configuration the configuration
