Work on pipelined idempotent requests before their turn

Ruled out: a limit that begins at arrival alone, which would only give up sooner.

Change: up to four idempotent requests without a body are worked on behind the one in progress; answers wait for their turn; a drain answers them before the connection closes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -54,6 +54,11 @@
 	/** Time before the end of a server's idle timeout when its connection is not used. */
 	private static final long IDLE_MARGIN_MILLISECONDS = 1500;
 
+	/**
+	 * Time in milliseconds after which a response that waits for its turn is looked at.
+	 */
+	private static final long TURN_MILLISECONDS = 500;
+
 	private final ProxyContext context;
 
 	private final Exchange exchange;
@@ -464,6 +469,11 @@
 			// The whole response is at hand and about to be relayed.
 			return;
 		}
+		if ((this.paused || this.state == State.FLUSHING) && this.exchange.isWaitingForTurn()) {
+			// The server has done its part, and so has the caller.
+			this.timer = this.context.eventLoop().schedule(this::timeOut, TURN_MILLISECONDS, TimeUnit.MILLISECONDS);
+			return;
+		}
 		if (this.paused || this.state == State.FLUSHING) {
 			// The server has done its part; the caller does not read the response.
 			this.exchange.callerTooSlow();
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -37,19 +37,23 @@
 import org.wigeonmast.proxy.ProxyEvent;
 
 /**
- * Connection of a caller, whose requests are served one at a time in order.
+ * Connection of a caller, whose requests are answered in order.
  * <p>
- * Thread safety: none; the traffic thread owns it. Invariants: at most one request is in
- * progress; messages behind it are read ahead up to a bound, so that it is noticed when
- * the caller leaves; after a response that is cut short, or that leaves part of the
- * request unread, the connection closes.
+ * Thread safety: none; the traffic thread owns it. Invariants: responses are written in
+ * the order of the requests; only idempotent requests without a body are worked on before
+ * those ahead of them are answered; messages behind the request in progress are read
+ * ahead up to a bound, so that it is noticed when the caller leaves; after a response
+ * that is cut short, or that leaves part of the request unread, the connection closes.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerSide {
 
 	private static final EventLog LOG = new EventLog(CallerConnection.class);
 
 	private static final long LINGER_MILLISECONDS = 1000;
 
+	/** The most requests that are worked on before their turn. */
+	private static final int MOST_EARLY = 4;
+
 	/** The most messages that are read ahead of the request in progress. */
 	private static final int MOST_AHEAD = 64;
 
@@ -65,6 +69,8 @@
 
 	private final Deque<HttpObject> ahead = new ArrayDeque<>();
 
+	private final Deque<PipelinedRequest> early = new ArrayDeque<>();
+
 	private boolean wanted;
 
 	private boolean pumping;
@@ -116,6 +122,7 @@
 		if (current != null) {
 			current.callerLeft();
 		}
+		leaveEarly();
 	}
 
 	@Override
@@ -129,6 +136,7 @@
 		if (this.state != State.CLOSING && (this.state == State.ANSWERING || !this.ahead.isEmpty())) {
 			this.ahead.addLast(message);
 			if (this.state == State.ANSWERING) {
+				startEarly();
 				readAhead();
 			}
 			else {
@@ -151,6 +159,29 @@
 		}
 	}
 
+	// Works on an idempotent request without body that is complete and comes next.
+	private void startEarly() {
+		if (this.ahead.size() != 2 || this.early.size() >= MOST_EARLY || !this.keepAlive || this.context.isDraining()
+				|| !(this.ahead.peekFirst() instanceof HttpRequest request)
+				|| !(this.ahead.peekLast() instanceof LastHttpContent end) || end.decoderResult().isFailure()
+				|| end.content().isReadable() || !this.context.admission().isRepeatable(request)) {
+			return;
+		}
+		Either<Rejection, AdmittedHead> admitted = this.context.admission().admit(request, peer());
+		if (admitted.isLeft()) {
+			return;
+		}
+		this.ahead.clear();
+		PipelinedRequest begun = new PipelinedRequest(this, admitted.get(), end);
+		this.early.addLast(begun);
+		begun.begin(this.context);
+	}
+
+	private void leaveEarly() {
+		this.early.forEach(PipelinedRequest::callerLeft);
+		this.early.clear();
+	}
+
 	private void readAhead() {
 		if (this.ahead.size() < MOST_AHEAD && this.messages != null) {
 			this.messages.ask();
@@ -281,18 +312,14 @@
 		respond(response, false);
 	}
 
-	/** Tells the caller to send the body. */
-	void sendContinue() {
+	@Override
+	public void sendContinue() {
 		channelContext().writeAndFlush(
 				new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
 	}
 
-	/**
-	 * Answers the current request with a response of the proxy itself.
-	 * @param response the response
-	 * @param requestComplete whether the whole request was read
-	 */
-	void respond(FullHttpResponse response, boolean requestComplete) {
+	@Override
+	public void respond(FullHttpResponse response, boolean requestComplete) {
 		this.exchange = null;
 		if (!channelContext().channel().isActive()) {
 			response.release();
@@ -305,13 +332,8 @@
 		channelContext().writeAndFlush(response).addListener((written) -> next());
 	}
 
-	/**
-	 * Begins to relay a response.
-	 * @param response the response, whose hop-by-hop fields are removed
-	 * @param requestId the identifier that the caller sees
-	 * @param requestComplete whether the whole request was read
-	 */
-	void respondHead(HttpResponse response, String requestId, boolean requestComplete) {
+	@Override
+	public void respondHead(HttpResponse response, String requestId, boolean requestComplete) {
 		HttpHeaders headers = response.headers();
 		boolean chunked = HttpUtil.isTransferEncodingChunked(response);
 		HopByHopHeaders.remove(headers);
@@ -339,28 +361,21 @@
 	}
 
 	private void closeUnlessKeptAlive(HttpHeaders headers) {
-		this.keepAlive &= !this.context.isDraining();
+		// Requests that are worked on already are answered before the connection closes.
+		this.keepAlive &= !this.context.isDraining() || !this.early.isEmpty();
 		if (!this.keepAlive) {
 			headers.add(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
 	}
 
-	/**
-	 * Relays a piece of the response.
-	 * @param content the piece, which the channel then owns
-	 * @return whether the caller takes more at once
-	 */
-	boolean respondContent(HttpContent content) {
+	@Override
+	public boolean respondContent(HttpContent content) {
 		channelContext().write(content);
 		return channelContext().channel().isWritable();
 	}
 
-	/**
-	 * Relays the end of the response.
-	 * @param content the last piece, which the channel then owns
-	 * @param completed runs when everything was handed to the operating system
-	 */
-	void respondLast(ByteBuf content, Runnable completed) {
+	@Override
+	public void respondLast(ByteBuf content, Runnable completed) {
 		ChannelFuture written = channelContext().writeAndFlush(new DefaultLastHttpContent(content));
 		written.addListener((future) -> {
 			if (future.isSuccess()) {
@@ -372,8 +387,8 @@
 		});
 	}
 
-	/** Serves the next request, or closes, after a response is complete. */
-	void exchangeEnded() {
+	@Override
+	public void exchangeEnded() {
 		this.exchange = null;
 		next();
 	}
@@ -386,6 +401,16 @@
 			linger();
 			return;
 		}
+		PipelinedRequest begun = this.early.pollFirst();
+		if (begun != null) {
+			this.state = State.ANSWERING;
+			this.since = now();
+			this.keepAlive = begun.keepAlive();
+			this.encoder.setHead(false);
+			this.exchange = begun.exchange();
+			begun.takeTurn();
+			return;
+		}
 		this.state = State.HEAD;
 		this.since = now();
 		if (this.ahead.isEmpty() && this.deferred != null) {
@@ -402,12 +427,13 @@
 		this.state = State.CLOSING;
 		this.since = now();
 		releaseHeld();
+		leaveEarly();
 		((DuplexChannel) channelContext().channel()).shutdownOutput();
 		ask();
 	}
 
-	/** Resets the connection, so that the caller cannot take a response for complete. */
-	void breakTransfer() {
+	@Override
+	public void breakTransfer() {
 		this.state = State.CLOSING;
 		this.exchange = null;
 		channelContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
@@ -465,16 +491,22 @@
 		this.since = now();
 	}
 
-	/** Asks for the next message of the caller. */
-	void ask() {
+	@Override
+	public void ask() {
 		this.wanted = true;
 		pump();
 	}
 
-	void flush() {
+	@Override
+	public void flush() {
 		channelContext().flush();
 	}
 
+	@Override
+	public boolean isWaitingForTurn() {
+		return false;
+	}
+
 	private String peer() {
 		return (channelContext().channel().remoteAddress() instanceof InetSocketAddress address)
 				? address.getAddress().getHostAddress() : "unknown";
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
@@ -30,7 +30,7 @@
 
 	private final ProxyContext context;
 
-	private final CallerConnection caller;
+	private final CallerSide caller;
 
 	private final AdmittedHead head;
 
@@ -52,7 +52,7 @@
 
 	private long acceptedAt;
 
-	Exchange(ProxyContext context, CallerConnection caller, AdmittedHead head) {
+	Exchange(ProxyContext context, CallerSide caller, AdmittedHead head) {
 		this.context = context;
 		this.caller = caller;
 		this.head = head;
@@ -336,6 +336,14 @@
 				false);
 	}
 
+	/**
+	 * Returns whether the response has to wait for those of earlier requests.
+	 * @return whether it waits
+	 */
+	boolean isWaitingForTurn() {
+		return this.caller.isWaitingForTurn();
+	}
+
 	AdmittedHead head() {
 		return this.head;
 	}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestAdmission.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestAdmission.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -52,6 +53,24 @@
 		};
 	}
 
+	/**
+	 * Returns whether a request has no body and may run more than once.
+	 * @param request the request
+	 * @return whether it can be worked on beside others of its connection
+	 */
+	boolean isRepeatable(HttpRequest request) {
+		HttpHeaders headers = request.headers();
+		if (!HttpMethod.GET.equals(request.method()) || headers.contains(HttpHeaderNames.EXPECT)
+				|| HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) != 0
+				|| RequestHeadChecks.check(request, this.context.configuration()) != null) {
+			return false;
+		}
+		String host = headers.get(HttpHeaderNames.HOST);
+		return this.context.router()
+			.route(host, request.method().name(), path(request.uri())) instanceof RequestRouter.Result.Found found
+				&& found.route().idempotent();
+	}
+
 	/**
 	 * Returns the identifier that the caller sees.
 	 * @param request the request
--- /dev/null
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/PipeliningTests.java
@@ -0,0 +1,126 @@
+package org.wigeonmast.proxy;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.dispatch.RequestEvent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Tests of requests that are sent before earlier ones are answered. */
+class PipeliningTests {
+
+	private static final int TIMEOUT_SECONDS = 10;
+
+	private final CountDownLatch secondArrived = new CountDownLatch(1);
+
+	private final CountDownLatch release = new CountDownLatch(1);
+
+	private final AtomicInteger runs = new AtomicInteger();
+
+	/** Answers /s/1 only after another request has arrived, and all others at once. */
+	private final ScriptedServer.Script firstWaitsForSecond = (connection) -> {
+		while (true) {
+			String target = connection.readMessage().split(" ")[1];
+			this.runs.incrementAndGet();
+			if (target.equals("/s/1")) {
+				this.secondArrived.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			}
+			else {
+				this.secondArrived.countDown();
+			}
+			connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + target.length() + "\r\nTarget: " + target
+					+ "\r\n\r\n" + target);
+		}
+	};
+
+	// Guards against short work that waits behind long work on the same connection, and
+	// against answers that change places when a later one is ready first.
+	@Test
+	void laterRequestIsWorkedOnAtOnceAndAnsweredInItsTurn() throws Exception {
+		try (ScriptedServer backend = new ScriptedServer(this.firstWaitsForSecond);
+				TestProxy proxy = new TestProxy(backend.description(8));
+				RawConnection caller = proxy.connect()) {
+			caller.write(get("/s/1") + get("/s/2") + get("/s/3"));
+			for (String target : new String[] { "/s/1", "/s/2", "/s/3" }) {
+				assertThat(caller.readMessage()).endsWith(target);
+			}
+			assertThat(this.runs.get()).isEqualTo(3);
+		}
+	}
+
+	// Guards against a refusal that overtakes the answers ahead of it.
+	@Test
+	void refusalOfALaterRequestComesInItsTurn() throws Exception {
+		try (ScriptedServer backend = new ScriptedServer(this.firstWaitsForSecond);
+				TestProxy proxy = new TestProxy(backend.description(8));
+				RawConnection caller = proxy.connect()) {
+			caller.write(get("/s/1") + get("/s/2") + get("/none"));
+			assertThat(caller.readMessage()).endsWith("/s/1");
+			assertThat(caller.readMessage()).endsWith("/s/2");
+			assertThat(caller.readMessage()).startsWith("HTTP/1.1 404 ");
+		}
+	}
+
+	// Guards against work that may not be repeated and runs before its turn.
+	@Test
+	void requestWithABodyWaitsForItsTurn() throws Exception {
+		try (ScriptedServer backend = new ScriptedServer((connection) -> {
+			while (true) {
+				connection.readMessage();
+				this.runs.incrementAndGet();
+				this.release.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+				connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+			}
+		}); TestProxy proxy = new TestProxy(backend.description(8)); RawConnection caller = proxy.connect()) {
+			caller.write(get("/s/1") + "POST /s/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok");
+			proxy.next(RequestEvent.Accepted.class);
+			backend.nextConnection();
+			assertThat(backend.pendingConnections()).isEqualTo(0);
+			this.release.countDown();
+			caller.readMessage();
+			caller.readMessage();
+			assertThat(this.runs.get()).isEqualTo(2);
+		}
+	}
+
+	// Guards against work that goes on for a caller that left.
+	@Test
+	void leavingCallerEndsAllItsRequests() throws Exception {
+		try (ScriptedServer backend = new ScriptedServer(RawConnection::readAll);
+				TestProxy proxy = new TestProxy(backend.description(8))) {
+			RawConnection caller = proxy.connect();
+			caller.write(get("/s/1") + get("/s/2"));
+			backend.nextConnection();
+			backend.nextConnection();
+			caller.close();
+			proxy.next(RequestEvent.CallerLeft.class);
+			proxy.next(RequestEvent.CallerLeft.class);
+		}
+	}
+
+	// Guards against a planned stop that cuts a request which a server works on already.
+	@Test
+	void drainAnswersRequestsThatAreWorkedOn() throws Exception {
+		try (ScriptedServer backend = new ScriptedServer((connection) -> {
+			connection.readMessage();
+			this.release.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+		}); TestProxy proxy = new TestProxy(backend.description(8)); RawConnection caller = proxy.connect()) {
+			caller.write(get("/s/1") + get("/s/2"));
+			backend.nextConnection();
+			backend.nextConnection();
+			proxy.server().drain();
+			this.release.countDown();
+			assertThat(caller.readMessage()).startsWith("HTTP/1.1 200 ");
+			assertThat(caller.readMessage()).startsWith("HTTP/1.1 200 ");
+		}
+	}
+
+	private static String get(String target) {
+		return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+	}
+
+}
