Let callers wait unread until the published state is known

Ruled out: a longer time to come back, which the callers' own time limits cut.

Change: a daemon listens at once and takes connections when it knows configuration and servers, or after 0.6 s.

--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -73,6 +73,12 @@
 	/** Time in milliseconds between the last forced end and the limit of a stop. */
 	private static final long STOP_MARGIN = 800;
 
+	/**
+	 * Time in milliseconds after the start for which callers wait unread for the
+	 * published state, before they are refused.
+	 */
+	private static final long LONGEST_HOLD = 600;
+
 	/**
 	 * Time in milliseconds after which a caller that came too early finds another daemon.
 	 */
@@ -151,7 +157,8 @@
 	 * @throws WigeonmastException if an address cannot be bound
 	 */
 	public HostAddress start() throws WigeonmastException {
-		HostAddress listening = this.proxy.start();
+		HostAddress listening = this.proxy.listen();
+		this.control.schedule(LONGEST_HOLD, this.proxy::accept);
 		this.datagrams.start();
 		StatusServer.listen(this.group, this.settings.readiness(), this::status);
 		StatusServer.listen(this.group, this.settings.metrics(), this::status);
@@ -258,7 +265,10 @@
 			case FollowEffect.Complete _ -> this.log.log(DaemonEvent.READY, this.follower.revision());
 			case FollowEffect.Logged logged -> this.log.log(logged.event(), logged.parameters().toArray());
 		}
-		this.ready = this.follower.isComplete();
+		if (!this.ready && this.follower.isComplete()) {
+			this.ready = true;
+			this.proxy.accept();
+		}
 	}
 
 	private Consumer<FollowInput> callResult() {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -112,11 +112,32 @@
 	}
 
 	/**
-	 * Listens for callers.
+	 * Listens for callers and takes their connections.
 	 * @return the address on which it listens
 	 * @throws ProxyStartException if the address cannot be bound
 	 */
 	public HostAddress start() throws ProxyStartException {
+		HostAddress listening = listen();
+		accept();
+		return listening;
+	}
+
+	/**
+	 * Takes connections of callers, which the operating system keeps until then.
+	 */
+	public void accept() {
+		Channel bound = this.listener;
+		if (bound != null) {
+			bound.config().setAutoRead(true);
+		}
+	}
+
+	/**
+	 * Listens without taking connections yet.
+	 * @return the address on which it listens
+	 * @throws ProxyStartException if the address cannot be bound
+	 */
+	public HostAddress listen() throws ProxyStartException {
 		int unsent = this.configuration.limits().unsentBytes();
 		HostAddress address = this.configuration.bindAddress();
 		try {
@@ -124,6 +145,7 @@
 				.channel(NioServerSocketChannel.class)
 				.option(ChannelOption.SO_BACKLOG, BACKLOG)
 				.option(ChannelOption.SO_REUSEADDR, true)
+				.option(ChannelOption.AUTO_READ, false)
 				.childOption(ChannelOption.AUTO_READ, false)
 				.childOption(ChannelOption.TCP_NODELAY, true)
 				.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(unsent / 2, unsent))
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/ProxyServerTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/ProxyServerTests.java
@@ -9,7 +9,10 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.Test;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.MillisecondClock;
 import org.wigeonmast.dispatch.AttemptReport;
 import org.wigeonmast.dispatch.RequestEvent;
 
@@ -113,4 +116,21 @@
 		}
 	}
 
+	// Guards against refusing callers that come in the moment before a daemon knows its
+	// routes.
+	@Test
+	void callersWaitUnreadUntilTheProxyAccepts() throws Exception {
+		CompletableFuture<RequestEvent> accepted = new CompletableFuture<>();
+		try (ProxyServer proxy = new ProxyServer(ProxyConfiguration.defaults(new HostAddress("127.0.0.1", 0)),
+				MillisecondClock.system(), () -> new FakeManifest(1000), accepted::complete, new MetricRegistry())) {
+			HostAddress address = proxy.listen();
+			try (RawConnection caller = RawConnection.to(address)) {
+				caller.write("GET /s HTTP/1.1\r\nHost: h\r\n\r\n");
+				assertThat(accepted.isDone()).isFalse();
+				proxy.accept();
+				assertThat(accepted.get(10, TimeUnit.SECONDS)).isInstanceOf(RequestEvent.Accepted.class);
+			}
+		}
+	}
+
 }
