--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.random.RandomGenerator;
@@ -12,12 +11,12 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.balance.internal.BalancedRequest;
 import org.wigeonmast.balance.internal.BalancedRequest.Sending;
+import org.wigeonmast.balance.internal.ServerBook;
 import org.wigeonmast.balance.internal.ServerChoice;
 import org.wigeonmast.balance.internal.ServerState;
 import org.wigeonmast.balance.internal.ServiceState;
 import org.wigeonmast.balance.peer.Rumour;
 import org.wigeonmast.balance.peer.ServerNews;
-import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.Component;
 import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.RequestId;
@@ -65,26 +64,17 @@
 
 	private static final int DEFAULT_CONNECTIONS = 100;
 
-	/** Probability from which peers are told what this daemon believes. */
-	private static final double TOLD_FROM = 0.2;
-
-	private static final double PERCENT = 100;
-
 	private static final String NO_SERVER = "no backend server of the service can be reached";
 
 	private static final String SHED = "the backend servers are full";
 
-	private final Map<ServiceName, ServiceState> services = new HashMap<>();
-
-	private final Map<BackendServerId, ServerState> servers = new HashMap<>();
-
 	private final Map<RequestId, BalancedRequest> requests = new HashMap<>();
 
 	private final PriorityQueue<Check> checks = new PriorityQueue<>(Comparator.comparingLong(Check::at));
 
 	private final List<BalanceEffect> effects = new ArrayList<>();
 
-	private final BalanceSettings settings;
+	private final ServerBook book;
 
 	private final ServerChoice choice;
 
@@ -92,8 +82,6 @@
 
 	private @Nullable FleetConfiguration configuration;
 
-	private int daemons = 1;
-
 	/**
 	 * Creates a coordinator.
 	 * @param home the failure domain of this daemon
@@ -101,7 +89,7 @@
 	 * @param random the random numbers
 	 */
 	public BalanceCoordinator(FailureDomain home, BalanceSettings settings, RandomGenerator random) {
-		this.settings = settings;
+		this.book = new ServerBook(settings, this.effects::add);
 		this.random = random;
 		this.choice = new ServerChoice(home, settings.servedShare(), random);
 	}
@@ -111,14 +99,11 @@
 		switch (input) {
 			case BalanceInput.Proxied proxied -> proxied(now, proxied.event());
 			case BalanceInput.Configured configured -> configured(configured.configuration());
-			case BalanceInput.ServerChanged changed -> serverChanged(now, changed.server());
-			case BalanceInput.ServerGone gone -> serverGone(gone.server());
-			case BalanceInput.Told told -> told(now, told.news());
-			case BalanceInput.Rumoured rumoured -> rumoured(now, rumoured.rumour());
-			case BalanceInput.FleetSize size -> {
-				this.daemons = Math.max(1, size.daemons());
-				this.services.values().forEach((service) -> service.allowance().setDaemons(this.daemons));
-			}
+			case BalanceInput.ServerChanged changed -> this.book.changed(now, changed.server());
+			case BalanceInput.ServerGone gone -> this.book.gone(gone.server());
+			case BalanceInput.Told told -> this.book.told(now, told.news());
+			case BalanceInput.Rumoured rumoured -> this.book.rumoured(now, rumoured.rumour());
+			case BalanceInput.FleetSize size -> this.book.setDaemons(size.daemons());
 		}
 		return drain();
 	}
@@ -150,14 +135,7 @@
 	 * @return what it believes
 	 */
 	public List<Rumour> rumours(long now) {
-		return this.servers.values()
-			.stream()
-			.filter((server) -> server.suspicion().probability(now) >= TOLD_FROM
-					&& server.suspicion().evidenceAge(now) >= 0)
-			.map((server) -> new Rumour(server.record().id(),
-					(int) Math.round(server.suspicion().probability(now) * PERCENT),
-					server.suspicion().evidenceAge(now)))
-			.toList();
+		return this.book.rumours(now);
 	}
 
 	private List<BalanceEffect> drain() {
@@ -171,48 +149,6 @@
 		log(BalanceEvent.CONFIGURED, "", changed.version(), changed.size());
 	}
 
-	private void serverChanged(long now, ServerRecord server) {
-		ServerState known = this.servers.get(server.id());
-		if (known != null && known.record().isSameStart(server)) {
-			if (server.leaving() && !known.record().leaving()) {
-				log(BalanceEvent.SERVER_LEAVING, "", server.id(), server.service());
-			}
-			known.update(now, server);
-			return;
-		}
-		if (known != null) {
-			serverGone(server.id());
-		}
-		ServerState added = new ServerState(now, server);
-		this.servers.put(server.id(), added);
-		service(server.service()).put(added);
-		log(BalanceEvent.SERVER_ADDED, "", server.id(), server.service(), server.address(), server.failureDomain(),
-				server.startedAt(), server.warmup());
-	}
-
-	private void serverGone(BackendServerId id) {
-		ServerState gone = this.servers.remove(id);
-		if (gone != null) {
-			service(gone.record().service()).remove(id);
-			log(BalanceEvent.SERVER_GONE, "", id, gone.record().service());
-		}
-	}
-
-	private void told(long now, ServerNews news) {
-		ServerState server = this.servers.get(news.server());
-		if (server != null) {
-			server.observe(now, news.kind());
-			reportSuspicion(now, server, news.kind(), "told");
-		}
-	}
-
-	private void rumoured(long now, Rumour rumour) {
-		ServerState server = this.servers.get(rumour.server());
-		if (server != null && server.suspicion().adopt(now, rumour.percent() / PERCENT, rumour.age())) {
-			reportSuspicion(now, server, ServerNews.Kind.FAILED, "believed by a peer");
-		}
-	}
-
 	private void proxied(long now, RequestEvent event) {
 		switch (event) {
 			case RequestEvent.Accepted accepted -> accepted(now, accepted.request());
@@ -235,7 +171,7 @@
 	private void accepted(long now, RequestDescription description) {
 		BalancedRequest request = new BalancedRequest(now, description);
 		this.requests.put(description.id(), request);
-		service(description.service()).requestAccepted(now);
+		this.book.service(description.service()).requestAccepted(now);
 		if (!send(now, request)) {
 			refuse(now, request, NO_SERVER);
 		}
@@ -244,9 +180,9 @@
 	// Sends a request to a server that it was not sent to before, if there is one.
 	private boolean send(long now, BalancedRequest request) {
 		RequestDescription description = request.description;
-		ServiceState service = service(description.service());
+		ServiceState service = this.book.service(description.service());
 		ServerState server = this.choice.choose(now, service.servers(), request.tried, description.workClass(),
-				request.repeatable(), service.busySlots(now, this.daemons));
+				request.repeatable(), service.busySlots(now, this.book.daemons()));
 		if (server == null || request.lastAttempt >= MOST_CONNECTS) {
 			return false;
 		}
@@ -264,7 +200,7 @@
 				description.deadline())));
 		scheduleChecks(now, request, number);
 		log(BalanceEvent.SENT, description.shownId(), number, description.plan().name(), record.id(), record.service(),
-				percent(server.suspicion().probability(now)), server.suspicion().evidenceAge(now),
+				ServerBook.percent(server.suspicion().probability(now)), server.suspicion().evidenceAge(now),
 				description.deadline() - now);
 		return true;
 	}
@@ -287,7 +223,7 @@
 			return;
 		}
 		if (check.overdue()) {
-			observe(now, sending.server(), ServerNews.Kind.OVERDUE);
+			this.book.seen(now, sending.server(), ServerNews.Kind.OVERDUE);
 		}
 		else if (!request.secondSent && mayRepeat(request)) {
 			request.secondSent = true;
@@ -310,7 +246,7 @@
 		remove(request, sending);
 		request.sends--;
 		sending.server().connectFailed(now);
-		observe(now, sending.server(), ServerNews.Kind.UNREACHABLE);
+		this.book.seen(now, sending.server(), ServerNews.Kind.UNREACHABLE);
 		boolean again = now < request.description.deadline() && request.attempts.isEmpty() && send(now, request);
 		failed(now, request, sending, reason, again);
 		if (!again && request.attempts.isEmpty()) {
@@ -329,7 +265,7 @@
 						sending.server().record().address());
 			}
 			else {
-				observe(now, sending.server(), ServerNews.Kind.SHED);
+				this.book.seen(now, sending.server(), ServerNews.Kind.SHED);
 			}
 			boolean again = sendAgain(now, request, request.description.replayable());
 			failed(now, request, sending, "not run, status " + started.status(), again);
@@ -341,7 +277,7 @@
 				&& (request.attempts.size() > 1 || (request.repeatable() && hasOther(request) && mayRepeat(request)))) {
 			request.possiblyRun = true;
 			abort(request, sending);
-			observe(now, sending.server(), ServerNews.Kind.FAILED);
+			this.book.seen(now, sending.server(), ServerNews.Kind.FAILED);
 			boolean again = request.attempts.isEmpty() && send(now, request);
 			failed(now, request, sending, "status " + started.status(), again);
 		}
@@ -354,12 +290,12 @@
 
 	private void completed(long now, BalancedRequest request, Sending sending, int status) {
 		ServerState server = sending.server();
-		service(request.description.service()).answered(now - sending.startedAt());
+		this.book.service(request.description.service()).answered(now - sending.startedAt());
 		if (status >= SERVER_ERROR) {
-			observe(now, server, ServerNews.Kind.FAILED);
+			this.book.seen(now, server, ServerNews.Kind.FAILED);
 		}
 		else if (server.suspicion().isSuspected(now)) {
-			observe(now, server, ServerNews.Kind.SERVED);
+			this.book.seen(now, server, ServerNews.Kind.SERVED);
 		}
 		else {
 			server.observe(now, ServerNews.Kind.SERVED);
@@ -391,10 +327,10 @@
 		long target = request.description.plan().targetLatency();
 		long elapsed = now - sending.startedAt();
 		if (!timedOut || elapsed / HOPELESS >= target) {
-			observe(now, sending.server(), ServerNews.Kind.FAILED);
+			this.book.seen(now, sending.server(), ServerNews.Kind.FAILED);
 		}
 		else if (elapsed >= target) {
-			observe(now, sending.server(), ServerNews.Kind.OVERDUE);
+			this.book.seen(now, sending.server(), ServerNews.Kind.OVERDUE);
 		}
 	}
 
@@ -403,14 +339,15 @@
 	}
 
 	private boolean hasOther(BalancedRequest request) {
-		return service(request.description.service()).servers()
+		return this.book.service(request.description.service())
+			.servers()
 			.stream()
 			.anyMatch((server) -> server.isUsable() && !request.tried.contains(server.record().id()));
 	}
 
 	private boolean mayRepeat(BalancedRequest request) {
 		return request.sends < request.description.plan().mostServers()
-				&& service(request.description.service()).allowance().take(this.random.nextDouble());
+				&& this.book.service(request.description.service()).allowance().take(this.random.nextDouble());
 	}
 
 	private void callerLeft(long now, BalancedRequest request) {
@@ -469,34 +406,6 @@
 		}
 	}
 
-	private void observe(long now, ServerState server, ServerNews.Kind kind) {
-		server.observe(now, kind);
-		if (server.isWorthTelling(now, kind)) {
-			this.effects.add(new BalanceEffect.Tell(new ServerNews(server.record().id(), kind),
-					server.record().failureDomain().region()));
-		}
-		reportSuspicion(now, server, kind, "seen");
-	}
-
-	private void reportSuspicion(long now, ServerState server, ServerNews.Kind kind, String source) {
-		if (!server.suspicionChanged(now)) {
-			return;
-		}
-		String cause = kind.name().toLowerCase(Locale.ROOT);
-		String probability = percent(server.suspicion().probability(now));
-		if (server.suspicion().isSuspected(now)) {
-			log(BalanceEvent.SUSPECTED, "", server.record().id(), server.record().service(), cause, source,
-					probability);
-		}
-		else {
-			log(BalanceEvent.TRUSTED, "", server.record().id(), server.record().service(), cause, probability);
-		}
-	}
-
-	private ServiceState service(ServiceName name) {
-		return this.services.computeIfAbsent(name, (added) -> new ServiceState(this.settings, this.daemons));
-	}
-
 	private int connections(ServiceName name) {
 		ServicePlan plan = (this.configuration != null) ? this.configuration.service(name) : null;
 		return (plan != null) ? plan.connections() : DEFAULT_CONNECTIONS;
@@ -506,10 +415,6 @@
 		this.effects.add(new BalanceEffect.Logged(event, request, List.of(parameters)));
 	}
 
-	private static String percent(double probability) {
-		return Math.round(probability * PERCENT) + "%";
-	}
-
 	/**
 	 * A look at an attempt that has not been answered.
 	 *
--- /dev/null
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerBook.java
@@ -0,0 +1,196 @@
+package org.wigeonmast.balance.internal;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.wigeonmast.balance.BalanceEffect;
+import org.wigeonmast.balance.BalanceEvent;
+import org.wigeonmast.balance.BalanceSettings;
+import org.wigeonmast.balance.ServerRecord;
+import org.wigeonmast.balance.peer.Rumour;
+import org.wigeonmast.balance.peer.ServerNews;
+import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.ServiceName;
+
+/**
+ * The backend servers of all services and the evidence about them.
+ * <p>
+ * Thread safety: none. Invariant: a server that starts again begins without evidence.
+ */
+public final class ServerBook {
+
+	/** Probability from which peers are told what this daemon believes. */
+	private static final double TOLD_FROM = 0.2;
+
+	private static final double PERCENT = 100;
+
+	private final Map<ServiceName, ServiceState> services = new HashMap<>();
+
+	private final Map<BackendServerId, ServerState> servers = new HashMap<>();
+
+	private final BalanceSettings settings;
+
+	private final Consumer<BalanceEffect> effects;
+
+	private int daemons = 1;
+
+	/**
+	 * Creates a book without servers.
+	 * @param settings the settings
+	 * @param effects takes what is to be told and logged
+	 */
+	public ServerBook(BalanceSettings settings, Consumer<BalanceEffect> effects) {
+		this.settings = settings;
+		this.effects = effects;
+	}
+
+	/**
+	 * Returns the state of a service, which is made if it is new.
+	 * @param name the service
+	 * @return the state
+	 */
+	public ServiceState service(ServiceName name) {
+		return this.services.computeIfAbsent(name, (added) -> new ServiceState(this.settings, this.daemons));
+	}
+
+	/**
+	 * Returns the number of live daemons.
+	 * @return the number, at least 1
+	 */
+	public int daemons() {
+		return this.daemons;
+	}
+
+	/**
+	 * Sets the number of live daemons.
+	 * @param daemons the number
+	 */
+	public void setDaemons(int daemons) {
+		this.daemons = Math.max(1, daemons);
+		this.services.values().forEach((service) -> service.allowance().setDaemons(this.daemons));
+	}
+
+	/**
+	 * Takes the record of a server that appeared or changed.
+	 * @param now the monotonic time in milliseconds
+	 * @param server the record
+	 */
+	public void changed(long now, ServerRecord server) {
+		ServerState known = this.servers.get(server.id());
+		if (known != null && known.record().isSameStart(server)) {
+			if (server.leaving() && !known.record().leaving()) {
+				log(BalanceEvent.SERVER_LEAVING, server.id(), server.service());
+			}
+			known.update(now, server);
+			return;
+		}
+		if (known != null) {
+			gone(server.id());
+		}
+		ServerState added = new ServerState(now, server);
+		this.servers.put(server.id(), added);
+		service(server.service()).put(added);
+		log(BalanceEvent.SERVER_ADDED, server.id(), server.service(), server.address(), server.failureDomain(),
+				server.startedAt(), server.warmup());
+	}
+
+	/**
+	 * Forgets a server.
+	 * @param id the server
+	 */
+	public void gone(BackendServerId id) {
+		ServerState gone = this.servers.remove(id);
+		if (gone != null) {
+			service(gone.record().service()).remove(id);
+			log(BalanceEvent.SERVER_GONE, id, gone.record().service());
+		}
+	}
+
+	/**
+	 * Takes what this daemon saw, and tells it.
+	 * @param now the monotonic time in milliseconds
+	 * @param server the server
+	 * @param kind what was seen
+	 */
+	public void seen(long now, ServerState server, ServerNews.Kind kind) {
+		server.observe(now, kind);
+		if (server.isWorthTelling(now, kind)) {
+			this.effects.accept(new BalanceEffect.Tell(new ServerNews(server.record().id(), kind),
+					server.record().failureDomain().region()));
+		}
+		reportSuspicion(now, server, kind, "seen");
+	}
+
+	/**
+	 * Takes what a peer saw.
+	 * @param now the monotonic time in milliseconds
+	 * @param news the news
+	 */
+	public void told(long now, ServerNews news) {
+		ServerState server = this.servers.get(news.server());
+		if (server != null) {
+			server.observe(now, news.kind());
+			reportSuspicion(now, server, news.kind(), "told");
+		}
+	}
+
+	/**
+	 * Takes what a peer believes.
+	 * @param now the monotonic time in milliseconds
+	 * @param rumour what it believes
+	 */
+	public void rumoured(long now, Rumour rumour) {
+		ServerState server = this.servers.get(rumour.server());
+		if (server != null && server.suspicion().adopt(now, rumour.percent() / PERCENT, rumour.age())) {
+			reportSuspicion(now, server, ServerNews.Kind.FAILED, "believed by a peer");
+		}
+	}
+
+	/**
+	 * Returns what this daemon believes of servers that are suspected.
+	 * @param now the monotonic time in milliseconds
+	 * @return what it believes
+	 */
+	public List<Rumour> rumours(long now) {
+		return this.servers.values()
+			.stream()
+			.filter((server) -> server.suspicion().probability(now) >= TOLD_FROM
+					&& server.suspicion().evidenceAge(now) >= 0)
+			.map((server) -> new Rumour(server.record().id(),
+					(int) Math.round(server.suspicion().probability(now) * PERCENT),
+					server.suspicion().evidenceAge(now)))
+			.toList();
+	}
+
+	/**
+	 * Writes a probability for a log line.
+	 * @param probability the probability
+	 * @return the text
+	 */
+	public static String percent(double probability) {
+		return Math.round(probability * PERCENT) + "%";
+	}
+
+	private void reportSuspicion(long now, ServerState server, ServerNews.Kind kind, String source) {
+		if (!server.suspicionChanged(now)) {
+			return;
+		}
+		ServerRecord record = server.record();
+		String cause = kind.name().toLowerCase(Locale.ROOT);
+		String probability = percent(server.suspicion().probability(now));
+		if (server.suspicion().isSuspected(now)) {
+			log(BalanceEvent.SUSPECTED, record.id(), record.service(), cause, source, probability);
+		}
+		else {
+			log(BalanceEvent.TRUSTED, record.id(), record.service(), cause, probability);
+		}
+	}
+
+	private void log(BalanceEvent event, Object... parameters) {
+		this.effects.accept(new BalanceEffect.Logged(event, "", List.of(parameters)));
+	}
+
+}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -1,9 +1,6 @@
 package org.wigeonmast.proxy.internal;
 
-import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -47,10 +44,6 @@
 
 	private static final EventLog LOG = new EventLog(Attempt.class);
 
-	private static final Pattern IDLE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
-
-	private static final long MILLISECONDS_PER_SECOND = 1000;
-
 	/** Time before the end of a server's idle timeout when its connection is not used. */
 	private static final long IDLE_MARGIN_MILLISECONDS = 1500;
 
@@ -245,10 +238,10 @@
 			this.informational = true;
 			ask();
 		}
-		else if (!isFramingSound(head.headers())) {
+		else if (!ResponseChecks.isFramingSound(head.headers())) {
 			fail("The response states its length ambiguously", false);
 		}
-		else if (isForeign(head)) {
+		else if (ResponseChecks.isForeign(head, names(), this.exchange.head().shownId())) {
 			// A late or extra response to another request; the own one comes behind it.
 			LOG.log(ProxyEvent.FOREIGN_RESPONSE, this.exchange.head().shownId(), server());
 			this.foreign = true;
@@ -260,21 +253,19 @@
 		}
 	}
 
-	private boolean isForeign(HttpResponse head) {
-		String id = head.headers().get(names().requestId());
-		return names().echoed() && id != null && !id.equals(this.exchange.head().shownId());
-	}
-
 	private void acceptHead(HttpResponse head) {
 		this.response = head;
 		this.headAt = System.nanoTime();
 		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreign;
 		this.notRun = names().statesNotRun(head);
-		if (!this.notRun && !isAnswer(head)) {
+		if (!this.notRun && !ResponseChecks.isAnswer(head, names())) {
 			fail("The response " + head.status().code() + " is not the server's answer to this request", false);
 			return;
 		}
-		noteIdleLimit(head);
+		long idleLimit = ResponseChecks.idleLimit(head);
+		if (idleLimit != ResponseChecks.NO_LIMIT && this.connection != null) {
+			this.connection.setIdleLimit(idleLimit - IDLE_MARGIN_MILLISECONDS);
+		}
 		if (this.context.configuration().limits().heldResponse() > 0) {
 			this.state = State.HOLDING;
 			ask();
@@ -284,25 +275,6 @@
 		}
 	}
 
-	private boolean isAnswer(HttpResponse head) {
-		HttpHeaders headers = head.headers();
-		if (!names().echoed()) {
-			return true;
-		}
-		boolean proven = head.status().codeClass() != HttpStatusClass.SUCCESS
-				|| HeaderVocabulary.value(headers, names().answerProof()) != null;
-		return proven && headers.contains(names().requestId()) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
-	}
-
-	private void noteIdleLimit(HttpResponse head) {
-		String keepAlive = head.headers().get("Keep-Alive");
-		Matcher stated = (keepAlive != null) ? IDLE_SECONDS.matcher(keepAlive) : null;
-		if (stated != null && stated.find() && this.connection != null) {
-			long limit = Long.parseLong(stated.group(1)) * MILLISECONDS_PER_SECOND;
-			this.connection.setIdleLimit(limit - IDLE_MARGIN_MILLISECONDS);
-		}
-	}
-
 	private void reportHead(HttpResponse head) {
 		this.state = State.HELD;
 		int status = head.status().code();
@@ -332,16 +304,6 @@
 		}
 	}
 
-	private static boolean isFramingSound(HttpHeaders headers) {
-		List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-		List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
-		if (encodings.isEmpty()) {
-			return lengths.size() <= 1;
-		}
-		return lengths.isEmpty() && encodings.size() == 1
-				&& HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.getFirst());
-	}
-
 	private void receivedContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.informational || this.skipping) {
--- /dev/null
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseChecks.java
@@ -0,0 +1,89 @@
+package org.wigeonmast.proxy.internal;
+
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import org.wigeonmast.proxy.HeaderVocabulary;
+
+/**
+ * Checks on the head of a response that the decoder leaves to its user.
+ * <p>
+ * Thread safety: stateless.
+ */
+final class ResponseChecks {
+
+	/** Value of {@link #idleLimit} for a server that states none. */
+	static final long NO_LIMIT = Long.MAX_VALUE;
+
+	private static final String KEEP_ALIVE = "Keep-Alive";
+
+	private static final Pattern IDLE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
+
+	private static final long MILLISECONDS_PER_SECOND = 1000;
+
+	private ResponseChecks() {
+	}
+
+	/**
+	 * Returns whether the length of a response is stated once and unambiguously.
+	 * @param headers its header fields
+	 * @return whether it is
+	 */
+	static boolean isFramingSound(HttpHeaders headers) {
+		List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
+		if (encodings.isEmpty()) {
+			return lengths.size() <= 1;
+		}
+		return lengths.isEmpty() && encodings.size() == 1
+				&& HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.getFirst());
+	}
+
+	/**
+	 * Returns whether a response belongs to another request.
+	 * @param head the head of the response
+	 * @param names the names of header fields
+	 * @param requestId the identifier of the own request
+	 * @return whether it names another request
+	 */
+	static boolean isForeign(HttpResponse head, HeaderVocabulary names, String requestId) {
+		String id = head.headers().get(names.requestId());
+		return names.echoed() && id != null && !id.equals(requestId);
+	}
+
+	/**
+	 * Returns whether a response can be the server's answer to the request.
+	 * @param head the head of the response
+	 * @param names the names of header fields
+	 * @return whether it names the request, proves a success and has no encoding that
+	 * nobody asked for
+	 */
+	static boolean isAnswer(HttpResponse head, HeaderVocabulary names) {
+		HttpHeaders headers = head.headers();
+		if (!names.echoed()) {
+			return true;
+		}
+		boolean proven = head.status().codeClass() != HttpStatusClass.SUCCESS
+				|| HeaderVocabulary.value(headers, names.answerProof()) != null;
+		return proven && headers.contains(names.requestId()) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
+	}
+
+	/**
+	 * Returns how long the server keeps the connection open while it is idle.
+	 * @param head the head of a response
+	 * @return the time in milliseconds, or {@link #NO_LIMIT}
+	 */
+	static long idleLimit(HttpResponse head) {
+		String stated = head.headers().get(KEEP_ALIVE);
+		Matcher matcher = (stated != null) ? IDLE_SECONDS.matcher(stated) : null;
+		return (matcher != null && matcher.find()) ? Long.parseLong(matcher.group(1)) * MILLISECONDS_PER_SECOND
+				: NO_LIMIT;
+	}
+
+}
