Keep a failing server avoided for as long as spells last

Besides, the answer of a request that a server had accepted before its spell cleared it, and an answer of a server between "avoided" and "suspected" was not told.

Ruled out: knowledge that comes late (failures reach the peers within a round trip; few sends met a server of more than 40 %).

Change: the probability of an avoided server relaxes over 7 s towards the share of servers in a spell and stays there until an answer says more; an answer counts only if its request was sent after the last failure; every answer of an avoided server is told.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -294,11 +294,8 @@
 		if (status >= SERVER_ERROR) {
 			this.book.seen(now, server, ServerNews.Kind.FAILED);
 		}
-		else if (server.suspicion().isSuspected(now)) {
-			this.book.seen(now, server, ServerNews.Kind.SERVED);
-		}
-		else {
-			server.observe(now, ServerNews.Kind.SERVED);
+		else if (server.isEvidence(sending.startedAt())) {
+			this.book.served(now, server);
 		}
 		log(BalanceEvent.ANSWERED, request.description.shownId(), status, server.record().id(),
 				now - request.acceptedAt, request.lastAttempt);
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerBook.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerBook.java
@@ -23,7 +23,7 @@
 public final class ServerBook {
 
 	/** Probability from which peers are told what this daemon believes. */
-	private static final double TOLD_FROM = 0.2;
+	private static final double TOLD_FROM = 0.35;
 
 	private static final double PERCENT = 100;
 
@@ -124,6 +124,20 @@
 		reportSuspicion(now, server, kind, "seen");
 	}
 
+	/**
+	 * Takes an answer, and tells it if the server is avoided.
+	 * @param now the monotonic time in milliseconds
+	 * @param server the server
+	 */
+	public void served(long now, ServerState server) {
+		if (server.suspicion().isAvoided(now)) {
+			seen(now, server, ServerNews.Kind.SERVED);
+		}
+		else {
+			server.observe(now, ServerNews.Kind.SERVED);
+		}
+	}
+
 	/**
 	 * Takes what a peer saw.
 	 * @param now the monotonic time in milliseconds
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
@@ -21,7 +21,7 @@
 
 	private static final int MOST_DOUBLINGS = 3;
 
-	private static final double FAILED_WEIGHT = 3.7;
+	private static final double FAILED_WEIGHT = 4;
 
 	private static final double OVERDUE_WEIGHT = 1.2;
 
@@ -43,6 +43,8 @@
 
 	private boolean mismatched;
 
+	private long failedAt = Long.MIN_VALUE;
+
 	private final long[] toldAt = new long[ServerNews.Kind.values().length];
 
 	private boolean reportedSuspected;
@@ -78,7 +80,10 @@
 	 */
 	public void observe(long now, ServerNews.Kind kind) {
 		switch (kind) {
-			case FAILED -> this.suspicion.observe(now, FAILED_WEIGHT);
+			case FAILED -> {
+				this.failedAt = now;
+				this.suspicion.observe(now, FAILED_WEIGHT);
+			}
 			case OVERDUE -> this.suspicion.observe(now, OVERDUE_WEIGHT);
 			case SERVED -> this.suspicion.observe(now, SERVED_WEIGHT);
 			case UNREACHABLE -> this.suspicion.observe(now, UNREACHABLE_WEIGHT);
@@ -86,6 +91,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether the answer of a request says something of the server's state. One
+	 * that was sent before the last failure may have been accepted before that spell.
+	 * @param sentAt when the request was sent, as monotonic time in milliseconds
+	 * @return whether the answer is evidence
+	 */
+	public boolean isEvidence(long sentAt) {
+		return sentAt > this.failedAt;
+	}
+
 	/**
 	 * Notes that this daemon could not connect.
 	 * @param now the monotonic time in milliseconds
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/Suspicion.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/Suspicion.java
@@ -18,18 +18,19 @@
 	private static final double LOWEST = 0.03;
 
 	/** Share of servers that are in a spell, to which the probability relaxes. */
-	private static final double SPELL_SHARE = 0.2;
+	private static final double SPELL_SHARE = 0.28;
 
 	/** Probability from which a server is avoided, so that silence says nothing. */
-	private static final double AVOIDED = 0.25;
+	private static final double AVOIDED = 0.2;
 
 	/** Bound that lets a few successes clear a server of many failures. */
 	private static final double HIGHEST = 0.97;
 
 	/**
-	 * Time in milliseconds in which the distance falls to about a third while avoided.
+	 * Time in milliseconds in which the distance falls to about a third while avoided;
+	 * spells of failing last for seconds to tens of seconds.
 	 */
-	private static final double AVOIDED_MILLISECONDS = 3000;
+	private static final double AVOIDED_MILLISECONDS = 7000;
 
 	/** Time in milliseconds in which the distance falls to about a third while used. */
 	private static final double USED_MILLISECONDS = 4000;
@@ -90,15 +91,18 @@
 	public double probability(long now) {
 		double elapsed = now - this.updatedAt;
 		double start = this.probability;
-		if (start > AVOIDED) {
-			double avoidedFor = AVOIDED_MILLISECONDS * Math.log((start - SPELL_SHARE) / (AVOIDED - SPELL_SHARE));
-			if (elapsed < avoidedFor) {
-				return relax(start, SPELL_SHARE, elapsed / AVOIDED_MILLISECONDS);
-			}
-			elapsed -= avoidedFor;
-			start = AVOIDED;
-		}
-		return relax(start, LOWEST, elapsed / USED_MILLISECONDS);
+		return (start > AVOIDED) ? relax(start, SPELL_SHARE, elapsed / AVOIDED_MILLISECONDS)
+				: relax(start, LOWEST, elapsed / USED_MILLISECONDS);
+	}
+
+	/**
+	 * Returns whether the server gets next to no requests, so that an answer of it is
+	 * news.
+	 * @param now the monotonic time in milliseconds
+	 * @return whether it is avoided
+	 */
+	public boolean isAvoided(long now) {
+		return probability(now) > AVOIDED;
 	}
 
 	/**
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/BalanceCoordinatorTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/BalanceCoordinatorTests.java
@@ -166,6 +166,44 @@
 		Truth.assertThat(this.told).isEmpty();
 	}
 
+	/**
+	 * Guards against an answer that clears a server although its request was accepted
+	 * before the server began to fail.
+	 */
+	@Test
+	void answerOfARequestSentBeforeAFailureClearsNothing() {
+		for (String id : List.of("b", "c")) {
+			give(new BalanceInput.ServerGone(new BackendServerId(id)));
+		}
+		accept("early", false);
+		this.now += 50;
+		accept("failed", false);
+		this.now += 10;
+		report("failed", 1, new AttemptReport.ResponseStarted(500, false, false));
+		report("failed", 1, new AttemptReport.Completed(500));
+		this.now += 40;
+		report("early", 1, new AttemptReport.ResponseStarted(200, false, false));
+		report("early", 1, new AttemptReport.Completed(200));
+		Truth.assertThat(this.told).containsExactly(new ServerNews(new BackendServerId("a"), ServerNews.Kind.FAILED));
+	}
+
+	/**
+	 * Guards against daemons that avoid a server because nobody tells that it answers.
+	 */
+	@Test
+	void answerOfAnAvoidedServerIsTold() {
+		for (String id : List.of("b", "c")) {
+			give(new BalanceInput.ServerGone(new BackendServerId(id)));
+		}
+		give(new BalanceInput.Told(new ServerNews(new BackendServerId("a"), ServerNews.Kind.FAILED)));
+		this.now += 20_000;
+		accept("r", false);
+		this.now += 100;
+		report("r", 1, new AttemptReport.ResponseStarted(200, false, false));
+		report("r", 1, new AttemptReport.Completed(200));
+		Truth.assertThat(this.told).containsExactly(new ServerNews(new BackendServerId("a"), ServerNews.Kind.SERVED));
+	}
+
 	/** Guards against a request that waits in vain when there is no server. */
 	@Test
 	void requestWithoutAnyServerIsRefusedAtOnce() {
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/SuspicionTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/SuspicionTests.java
@@ -55,6 +55,25 @@
 		Truth.assertThat(this.suspicion.probability(100)).isGreaterThan(once + 0.1);
 	}
 
+	/**
+	 * Guards against going back to a server in a spell of twelve seconds while others are
+	 * sound.
+	 */
+	@Test
+	void repeatedFailuresKeepTheServerAvoidedForTwelveSeconds() {
+		this.suspicion.observe(0, FAILED);
+		this.suspicion.observe(100, FAILED);
+		Truth.assertThat(this.suspicion.isAvoided(12_000)).isTrue();
+	}
+
+	/** Guards against a server that was avoided and answers again without being used. */
+	@Test
+	void answerAfterALongTimeEndsTheAvoidance() {
+		this.suspicion.observe(0, FAILED);
+		this.suspicion.observe(20_000, -1.8);
+		Truth.assertThat(this.suspicion.isAvoided(20_000)).isFalse();
+	}
+
 	/** Guards against suspicion without bound, which no success could end. */
 	@Test
 	void manyFailuresEndWithinFifteenSeconds() {
