Drop a removed record at once when the store was not away

The daemon had been cut off for 12 s (node_cut), read the state 0.4 s after the cut healed, and kept each record that was gone for another 2 s, as after an outage of the store, so that the server was in use 3.4 s after the daemon was back in touch. Every daemon that is cut off took this path.

Ruled out: a lost watch (the state was read as a whole); a server that came back under its identifier.

Change: records lapse only if servers cannot renew them for several heartbeats. The follower now knows since when the store has been answering somebody, from its own calls and from the greetings of peers, which tell for how long they have known it to be there. The two seconds run from the end of an absence of at least 4 s, and end at once when a peer tells that there was none.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEvent.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEvent.java
@@ -71,7 +71,8 @@
 			"Look at the store if this lasts."),
 
 	/** The published state can be read again. */
-	STORE_REGAINED(1223, Level.INFO, "the published state can be read again after {} ms, at revision {}",
+	STORE_REGAINED(1223, Level.INFO,
+			"the published state can be read again after {} ms, at revision {}; the store is steady for {} ms",
 			"Nothing to do."),
 
 	/** The history of the published state was dropped. */
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/FollowInput.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/FollowInput.java
@@ -52,8 +52,9 @@
 	 *
 	 * @param revision the revision
 	 * @param age the time in milliseconds since the store confirmed it
+	 * @param steadyFor the time in milliseconds for which the store has not been away
 	 */
-	record PeerRevision(long revision, long age) implements FollowInput {
+	record PeerRevision(long revision, long age, long steadyFor) implements FollowInput {
 	}
 
 }
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
@@ -20,8 +20,8 @@
  * <p>
  * Thread safety: none; the control thread owns it. Invariants: the version of the
  * configuration in force never falls; at most one call is in progress; a record that was
- * removed is out of use at once, unless the store was just away, when its servers get a
- * short time to write their records again.
+ * removed is out of use at once, unless the store was just away from all daemons that are
+ * heard of, when its servers get a short time to write their records again.
  */
 public final class StateFollower implements Component<FollowInput, FollowEffect> {
 
@@ -37,7 +37,14 @@
 	/** First pause in milliseconds after a call failed. */
 	private static final long FIRST_PAUSE = 100;
 
-	private static final long LONGEST_PAUSE = 1000;
+	/** Longest pause in milliseconds, so that a store that is back is found soon. */
+	private static final long LONGEST_PAUSE = 600;
+
+	/**
+	 * Time in milliseconds that the store must be away for before records lapse because
+	 * servers could not renew them: more than two and a half of their heartbeats.
+	 */
+	private static final long LAPSE_AFTER = 4000;
 
 	/**
 	 * Time in milliseconds without a confirmation of the revision, by the store or
@@ -51,6 +58,8 @@
 	/** Time in milliseconds between two reads because a peer is ahead. */
 	private static final long LAG_PAUSE = 1000;
 
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private final Map<BackendServerId, ServerRecord> servers = new HashMap<>();
 
 	private final Map<BackendServerId, Long> lapsed = new HashMap<>();
@@ -69,7 +78,13 @@
 
 	private long lostAt;
 
-	private long regainedAt = Long.MIN_VALUE / 2;
+	private long servedAt = NEVER;
+
+	private long awayFrom = NEVER;
+
+	private long steadySince = NEVER;
+
+	private long graceUntil = NEVER;
 
 	private int failures;
 
@@ -83,7 +98,7 @@
 
 	private long lagCheckAt = NO_TIMER;
 
-	private long lastLagRead = Long.MIN_VALUE / 2;
+	private long lastLagRead = NEVER;
 
 	/**
 	 * Creates a follower.
@@ -110,6 +125,16 @@
 		return now - this.confirmedAt;
 	}
 
+	/**
+	 * Returns since when the store has answered some daemon that is heard of often enough
+	 * for records not to lapse.
+	 * @return the monotonic time in milliseconds, the largest value before the first
+	 * answer
+	 */
+	public long steadySince() {
+		return (this.steadySince != NEVER) ? this.steadySince : Long.MAX_VALUE;
+	}
+
 	/**
 	 * Returns whether the state is known as a whole and has a configuration.
 	 * @return whether requests can be served
@@ -239,7 +264,7 @@
 		if (known == null || this.lapsed.containsKey(server)) {
 			return;
 		}
-		long grace = this.regainedAt + LAPSE_GRACE - now;
+		long grace = this.graceUntil - now;
 		if (grace > 0 && !known.leaving()) {
 			this.lapsed.put(server, now + grace);
 			log(BalanceEvent.RECORD_LAPSED, server, grace);
@@ -280,10 +305,32 @@
 		this.retryAt = NO_TIMER;
 		this.watchedAt = NO_TIMER;
 		this.confirmedAt = now;
+		served(now);
 		if (this.lost) {
 			this.lost = false;
-			this.regainedAt = now;
-			log(BalanceEvent.STORE_REGAINED, now - this.lostAt, seen);
+			log(BalanceEvent.STORE_REGAINED, now - this.lostAt, seen, now - this.steadySince);
+		}
+	}
+
+	// Notes that the store answered this daemon or a peer.
+	private void served(long at) {
+		if (at - this.servedAt >= LAPSE_AFTER) {
+			this.awayFrom = this.servedAt;
+			this.steadySince = at;
+			// No record that this daemon knows can have lapsed before its first read.
+			this.graceUntil = (this.servedAt != NEVER) ? at + LAPSE_GRACE : NEVER;
+		}
+		this.servedAt = Math.max(this.servedAt, at);
+	}
+
+	// Takes from a peer that the store was not away while this daemon was cut off from
+	// both.
+	private void steadyAll(long now, long since) {
+		if (since < this.steadySince) {
+			this.steadySince = since;
+			this.graceUntil = Math.min(this.graceUntil, since + LAPSE_GRACE);
+			this.lapsed.replaceAll((server, until) -> Math.max(now, this.graceUntil));
+			dropLapsed(now);
 		}
 	}
 
@@ -300,6 +347,10 @@
 	}
 
 	private void peerRevision(long now, FollowInput.PeerRevision peer) {
+		served(now - peer.age());
+		if (peer.age() < LAPSE_AFTER && now - peer.steadyFor() < this.awayFrom + LAPSE_AFTER) {
+			steadyAll(now, now - peer.steadyFor());
+		}
 		this.peerRevision = Math.max(this.peerRevision, peer.revision());
 		if (peer.revision() >= 0 && peer.revision() <= this.revision) {
 			this.confirmedAt = Math.max(this.confirmedAt, now - peer.age());
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessage.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessage.java
@@ -10,12 +10,14 @@
  * @param sender the daemon that sent it
  * @param revision the revision of the published state that the sender knows, -1 for none
  * @param revisionAge the time in milliseconds since the store confirmed that revision
+ * @param steadyFor the time in milliseconds for which the sender knows that the store has
+ * not been away
  * @param members other daemons that the sender heard of
  * @param news what the sender saw of backend servers
  * @param rumours what the sender believes of suspected backend servers
  */
-public record PeerMessage(Peer sender, long revision, long revisionAge, List<Heard> members, List<ServerNews> news,
-		List<Rumour> rumours) {
+public record PeerMessage(Peer sender, long revision, long revisionAge, long steadyFor, List<Heard> members,
+		List<ServerNews> news, List<Rumour> rumours) {
 
 	public PeerMessage {
 		members = List.copyOf(members);
@@ -29,7 +31,8 @@
 	 * @return the message
 	 */
 	public PeerMessage withRumours(List<Rumour> believed) {
-		return new PeerMessage(this.sender, this.revision, this.revisionAge, this.members, this.news, believed);
+		return new PeerMessage(this.sender, this.revision, this.revisionAge, this.steadyFor, this.members, this.news,
+				believed);
 	}
 
 	/**
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
@@ -36,6 +36,8 @@
 
 	private static final int RUMOUR = 7;
 
+	private static final int STEADY_FOR = 8;
+
 	private static final int ADDRESS = 1;
 
 	private static final int PORT = 2;
@@ -84,6 +86,7 @@
 			out.writeByteArray(SENDER, peer(message.sender(), 0, domains, 0));
 			out.writeSInt64(REVISION, message.revision());
 			out.writeUInt64(REVISION_AGE, message.revisionAge());
+			out.writeUInt64(STEADY_FOR, message.steadyFor());
 			int port = message.sender().address().port();
 			for (PeerMessage.Heard heard : message.members()) {
 				out.writeByteArray(MEMBER, peer(heard.peer(), heard.age(), domains, port));
@@ -116,6 +119,7 @@
 		PeerMessage.Heard sender = null;
 		long revision = -1;
 		long revisionAge = 0;
+		long steadyFor = 0;
 		List<PeerMessage.Heard> members = new ArrayList<>();
 		List<ServerNews> news = new ArrayList<>();
 		List<Rumour> rumours = new ArrayList<>();
@@ -125,6 +129,7 @@
 				case SENDER -> sender = readPeer(in.readByteArray(), domains, 0);
 				case REVISION -> revision = in.readSInt64();
 				case REVISION_AGE -> revisionAge = in.readUInt64();
+				case STEADY_FOR -> steadyFor = in.readUInt64();
 				case MEMBER -> members
 					.add(readPeer(in.readByteArray(), domains, (sender != null) ? sender.peer().address().port() : 0));
 				case NEWS -> news.add(readNews(in.readByteArray()));
@@ -132,10 +137,10 @@
 				default -> in.skipField(tag);
 			}
 		}
-		if (sender == null || revisionAge < 0) {
+		if (sender == null || revisionAge < 0 || steadyFor < 0) {
 			throw new IOException("The sender or a usable age is missing");
 		}
-		return new PeerMessage(sender.peer(), revision, revisionAge, members, news, rumours);
+		return new PeerMessage(sender.peer(), revision, revisionAge, steadyFor, members, news, rumours);
 	}
 
 	private static FailureDomain domain(String text) throws IOException {
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
@@ -58,6 +58,8 @@
 
 	private long confirmedAt;
 
+	private long steadySince = Long.MAX_VALUE;
+
 	private long now;
 
 	private long nextGreeting = NO_TIMER;
@@ -91,6 +93,7 @@
 			case RosterInput.Revision known -> {
 				this.revision = known.revision();
 				this.confirmedAt = known.confirmedAt();
+				this.steadySince = known.steadySince();
 			}
 			case RosterInput.Leave _ -> {
 				this.self = new Peer(this.self.address(), this.self.failureDomain(), true);
@@ -177,7 +180,8 @@
 		message.news().forEach((news) -> this.effects.add(new RosterEffect.News(news)));
 		message.rumours().forEach((rumour) -> this.effects.add(new RosterEffect.Rumoured(rumour)));
 		if (message.revision() >= 0) {
-			this.effects.add(new RosterEffect.PeerRevision(message.revision(), message.revisionAge()));
+			this.effects
+				.add(new RosterEffect.PeerRevision(message.revision(), message.revisionAge(), message.steadyFor()));
 		}
 	}
 
@@ -235,8 +239,10 @@
 	}
 
 	private void send(HostAddress receiver, List<PeerMessage.Heard> members, List<ServerNews> news) {
-		this.effects.add(new RosterEffect.Send(receiver, new PeerMessage(this.self, this.revision,
-				Math.max(0, this.now - this.confirmedAt), members, news, List.of()), news.isEmpty()));
+		this.effects.add(new RosterEffect.Send(receiver,
+				new PeerMessage(this.self, this.revision, Math.max(0, this.now - this.confirmedAt),
+						Math.max(0, this.now - this.steadySince), members, news, List.of()),
+				news.isEmpty()));
 	}
 
 	private void sizeChanged() {
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterInput.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterInput.java
@@ -48,8 +48,10 @@
 	 * @param revision the revision
 	 * @param confirmedAt the monotonic time in milliseconds at which the store confirmed
 	 * it
+	 * @param steadySince the monotonic time in milliseconds since which the store has not
+	 * been away
 	 */
-	record Revision(long revision, long confirmedAt) implements RosterInput {
+	record Revision(long revision, long confirmedAt, long steadySince) implements RosterInput {
 	}
 
 	/** This daemon is stopping. */
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/follow/StateFollowerTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/follow/StateFollowerTests.java
@@ -67,6 +67,66 @@
 		Truth.assertThat(removed(tickUntil(this.now + StateFollower.LAPSE_GRACE))).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against a server that left while only this daemon was cut off from the store
+	 * and that is used for the time in which lapsed records may come back.
+	 */
+	@Test
+	void recordIsDroppedAtOnceIfPeersReachedTheStoreMeanwhile() {
+		start(1);
+		give(new FollowInput.Failed("no answer"));
+		for (int second = 0; second < 6; second++) {
+			this.now += 1000;
+			give(new FollowInput.PeerRevision(11, 300, 30_000));
+		}
+		Truth.assertThat(removed(give(new FollowInput.Changed(List.of(removal()), 11)))).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against the same if this daemon was cut off from its peers as well, which
+	 * tell it only afterwards that the store was never away.
+	 */
+	@Test
+	void recordIsDroppedWhenAPeerTellsThatTheStoreWasNeverAway() {
+		start(1);
+		give(new FollowInput.Failed("no answer"));
+		this.now += 8000;
+		Truth.assertThat(removed(give(new FollowInput.Changed(List.of(removal()), 11)))).isEqualTo(0);
+		this.now += 200;
+		Truth.assertThat(removed(give(new FollowInput.PeerRevision(11, 100, 9000)))).isEqualTo(1);
+	}
+
+	/** Guards against a peer that was back a little earlier and proves nothing. */
+	@Test
+	void recordIsKeptIfThePeerLostTheStoreToo() {
+		start(1);
+		give(new FollowInput.Failed("no answer"));
+		this.now += 8000;
+		give(new FollowInput.Changed(List.of(removal()), 11));
+		this.now += 200;
+		Truth.assertThat(removed(give(new FollowInput.PeerRevision(11, 100, 700)))).isEqualTo(0);
+	}
+
+	/** Guards against a daemon that vouches for a store that it has never reached. */
+	@Test
+	void storeThatWasNeverReachedIsNotSteady() {
+		give(new FollowInput.Started());
+		give(new FollowInput.Failed("no answer"));
+		Truth.assertThat(this.follower.steadySince()).isGreaterThan(this.now);
+	}
+
+	/** Guards against a daemon that finds the store long after it is back. */
+	@Test
+	void lostStoreIsTriedAgainSoon() {
+		start(1);
+		for (int failure = 0; failure < 20; failure++) {
+			give(new FollowInput.Failed("no answer"));
+			Truth.assertThat(this.follower.nextTick()).isAtMost(this.now + 600);
+			this.now = this.follower.nextTick();
+			this.follower.tick(this.now);
+		}
+	}
+
 	/** Guards against a follower that goes on from a history that is gone. */
 	@Test
 	void droppedHistoryMakesItReadTheWholeState() {
@@ -79,7 +139,7 @@
 	void peerThatIsAheadMakesItWatchAgain() {
 		start(1);
 		tickUntil(this.now + 1000);
-		give(new FollowInput.PeerRevision(20, 0));
+		give(new FollowInput.PeerRevision(20, 0, 0));
 		Truth.assertThat(tickUntil(this.now + 1000)).contains(new FollowEffect.Watch(10));
 	}
 
@@ -102,7 +162,7 @@
 		List<FollowEffect> effects = new ArrayList<>();
 		for (int i = 0; i < 10; i++) {
 			effects.addAll(tickUntil(this.now + 1000));
-			give(new FollowInput.PeerRevision(10, 500));
+			give(new FollowInput.PeerRevision(10, 500, 0));
 		}
 		Truth.assertThat(effects).doesNotContain(new FollowEffect.Watch(10));
 	}
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/ServerChoiceTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/ServerChoiceTests.java
@@ -85,6 +85,23 @@
 		Truth.assertThat(near).isGreaterThan(CHOICES * 95 / 100);
 	}
 
+	/** Guards against work at a server that is likely to fail it, to save a few bytes. */
+	@Test
+	void shortWorkLeavesARegionWhoseServersAreSuspected() {
+		add(1, BalanceFixtures.HOME);
+		add(3, BalanceFixtures.FAR);
+		this.servers.getFirst().observe(0, ServerNews.Kind.FAILED);
+		Truth.assertThat(share(WorkClass.SHORT).getOrDefault("s0", 0.0)).isLessThan(0.01);
+	}
+
+	/** Guards against volume between regions that nearby servers make needless. */
+	@Test
+	void soundServersOfTheRegionArePreferred() {
+		add(1, BalanceFixtures.HOME);
+		add(1, BalanceFixtures.FAR);
+		Truth.assertThat(share(WorkClass.SHORT).getOrDefault("s1", 0.0)).isLessThan(0.1);
+	}
+
 	/** Guards against a service whose only servers are in another region. */
 	@Test
 	void distantServerIsUsedWhenThereIsNoOther() {
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -283,8 +283,8 @@
 
 	private void tellRevision() {
 		long now = this.control.clock().milliseconds();
-		this.roster
-			.handle(new RosterInput.Revision(this.follower.revision(), now - this.follower.confirmationAge(now)));
+		this.roster.handle(new RosterInput.Revision(this.follower.revision(), now - this.follower.confirmationAge(now),
+				this.follower.steadySince()));
 	}
 
 	private void apply(Change change) {
@@ -313,7 +313,7 @@
 			case RosterEffect.Rumoured rumoured -> this.balance.handle(new BalanceInput.Rumoured(rumoured.rumour()));
 			case RosterEffect.News news -> this.balance.handle(new BalanceInput.Told(news.news()));
 			case RosterEffect.PeerRevision peer -> {
-				this.following.handle(new FollowInput.PeerRevision(peer.revision(), peer.age()));
+				this.following.handle(new FollowInput.PeerRevision(peer.revision(), peer.age(), peer.steadyFor()));
 				tellRevision();
 			}
 			case RosterEffect.Logged logged -> this.log.log(logged.event(), logged.parameters().toArray());
