Let a read after a dropped history end

Ruled out: the timer of failed calls, which the answer stops.

Change: the timer stops with the watch.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
@@ -154,6 +154,7 @@
 			case FollowInput.Changed changed -> changed(now, changed);
 			case FollowInput.HistoryDropped _ -> {
 				log(BalanceEvent.HISTORY_DROPPED, this.revision);
+				this.watchedAt = NO_TIMER;
 				read();
 			}
 			case FollowInput.Failed failed -> failed(now, failed.reason());
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/BalanceCoordinatorTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/BalanceCoordinatorTests.java
@@ -118,6 +118,33 @@
 		Truth.assertThat(this.commands.getLast()).isEqualTo(new ExchangeCommand.Relay(new RequestId("r"), 2));
 	}
 
+	/**
+	 * Guards against second sends that are counted, and so missing elsewhere, although
+	 * there is no other server.
+	 */
+	@Test
+	void noSecondSendIsCountedWithoutAnotherServer() {
+		BalanceCoordinator alone = new BalanceCoordinator(BalanceFixtures.HOME, new BalanceSettings(0, 5, 0.7),
+				RandomGeneratorFactory.of("L64X128MixRandom").create(3));
+		alone.handle(0, new BalanceInput.ServerChanged(BalanceFixtures.server("a")));
+		for (int i = 0; i < 10; i++) {
+			alone.handle(0, new BalanceInput.Proxied(
+					new RequestEvent.Accepted(BalanceFixtures.request("lonely" + i, true, DEADLINE))));
+		}
+		for (long tick = alone.nextTick(); tick < DEADLINE; tick = alone.nextTick()) {
+			alone.tick(tick);
+		}
+		alone.handle(DEADLINE, new BalanceInput.ServerChanged(BalanceFixtures.server("b")));
+		alone.handle(DEADLINE,
+				new BalanceInput.Proxied(new RequestEvent.Accepted(BalanceFixtures.request("r", true, 2 * DEADLINE))));
+		long starts = alone.tick(alone.nextTick())
+			.stream()
+			.filter((effect) -> effect instanceof BalanceEffect.Exchange exchange
+					&& exchange.command() instanceof ExchangeCommand.StartAttempt)
+			.count();
+		Truth.assertThat(starts).isEqualTo(1);
+	}
+
 	/** Guards against work that goes on at a server after its caller has left. */
 	@Test
 	void leavingCallerEndsAllAttempts() {
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/follow/StateFollowerTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/follow/StateFollowerTests.java
@@ -134,6 +134,14 @@
 		Truth.assertThat(give(new FollowInput.HistoryDropped())).contains(new FollowEffect.ReadState());
 	}
 
+	/** Guards against a read of the whole state that a watch replaces before it ends. */
+	@Test
+	void readAfterADroppedHistoryIsLeftToEnd() {
+		start(1);
+		give(new FollowInput.HistoryDropped());
+		Truth.assertThat(tickUntil(this.now + 5000)).doesNotContain(new FollowEffect.Watch(10));
+	}
+
 	/** Guards against waiting on a connection whose answer was lost. */
 	@Test
 	void peerThatIsAheadMakesItWatchAgain() {
