Tell peers how many requests each daemon gets

Cause: the share of servers that may be avoided depends on the load, which each daemon estimated from its own requests: 0.6 requests/s of a service, averaged over 4 s, so the estimate was off by two thirds at random.

Ruled out: late news (the age of the evidence was below 0.5 s).

Change: greetings carry the requests a second that a daemon gets, for its 16 busiest services at most; the load of the fleet is the average over all daemons heard within 6 s times their number. Besides, a second send is counted only if there is another server.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -17,6 +17,7 @@
 import org.wigeonmast.balance.internal.ServiceState;
 import org.wigeonmast.balance.peer.Rumour;
 import org.wigeonmast.balance.peer.ServerNews;
+import org.wigeonmast.balance.peer.ServiceLoad;
 import org.wigeonmast.core.Component;
 import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.RequestId;
@@ -103,6 +104,7 @@
 			case BalanceInput.ServerGone gone -> this.book.gone(gone.server());
 			case BalanceInput.Told told -> this.book.told(now, told.news());
 			case BalanceInput.Rumoured rumoured -> this.book.rumoured(now, rumoured.rumour());
+			case BalanceInput.LoadTold told -> this.book.fleetLoad().told(now, told.peer(), told.loads());
 			case BalanceInput.FleetSize size -> this.book.setDaemons(size.daemons());
 		}
 		return drain();
@@ -138,6 +140,15 @@
 		return this.book.rumours(now);
 	}
 
+	/**
+	 * Returns how many requests this daemon gets.
+	 * @param now the monotonic time in milliseconds
+	 * @return the requests that it gets, by service
+	 */
+	public List<ServiceLoad> loads(long now) {
+		return this.book.loads(now);
+	}
+
 	private List<BalanceEffect> drain() {
 		List<BalanceEffect> drained = List.copyOf(this.effects);
 		this.effects.clear();
@@ -182,7 +193,7 @@
 		RequestDescription description = request.description;
 		ServiceState service = this.book.service(description.service());
 		ServerState server = this.choice.choose(now, service.servers(), request.tried, description.workClass(),
-				request.repeatable(), service.busySlots(now, this.book.daemons()));
+				request.repeatable(), this.book.busySlots(now, description.service()));
 		if (server == null || request.lastAttempt >= MOST_CONNECTS) {
 			return false;
 		}
@@ -225,7 +236,7 @@
 		if (check.overdue()) {
 			this.book.seen(now, sending.server(), ServerNews.Kind.OVERDUE);
 		}
-		else if (!request.secondSent && mayRepeat(request)) {
+		else if (!request.secondSent && hasOther(request) && mayRepeat(request)) {
 			request.secondSent = true;
 			log(BalanceEvent.SECOND_SEND, request.description.shownId(), sending.server().record().id(),
 					now - sending.startedAt());
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceInput.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceInput.java
@@ -1,8 +1,12 @@
 package org.wigeonmast.balance;
 
+import java.util.List;
+
 import org.wigeonmast.balance.peer.Rumour;
 import org.wigeonmast.balance.peer.ServerNews;
+import org.wigeonmast.balance.peer.ServiceLoad;
 import org.wigeonmast.core.BackendServerId;
+import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.dispatch.RequestEvent;
 
 /**
@@ -60,6 +64,15 @@
 	record Rumoured(Rumour rumour) implements BalanceInput {
 	}
 
+	/**
+	 * A peer told how many requests it gets.
+	 *
+	 * @param peer the address of the peer
+	 * @param loads the requests that it gets, by service
+	 */
+	record LoadTold(HostAddress peer, List<ServiceLoad> loads) implements BalanceInput {
+	}
+
 	/**
 	 * The number of live daemons changed.
 	 *
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerBook.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerBook.java
@@ -1,5 +1,6 @@
 package org.wigeonmast.balance.internal;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -12,6 +13,7 @@
 import org.wigeonmast.balance.ServerRecord;
 import org.wigeonmast.balance.peer.Rumour;
 import org.wigeonmast.balance.peer.ServerNews;
+import org.wigeonmast.balance.peer.ServiceLoad;
 import org.wigeonmast.core.BackendServerId;
 import org.wigeonmast.core.ServiceName;
 
@@ -22,6 +24,14 @@
  */
 public final class ServerBook {
 
+	/** The most services whose load is told, those with the most requests. */
+	private static final int LOADS_TOLD = 16;
+
+	/** Requests in a second from which the load of a service is told. */
+	private static final double LOAD_TOLD_FROM = 0.05;
+
+	private static final double MILLISECONDS_PER_SECOND = 1000;
+
 	/** Probability from which peers are told what this daemon believes. */
 	private static final double TOLD_FROM = 0.35;
 
@@ -35,6 +45,8 @@
 
 	private final Consumer<BalanceEffect> effects;
 
+	private final FleetLoad fleetLoad = new FleetLoad();
+
 	private int daemons = 1;
 
 	/**
@@ -56,6 +68,41 @@
 		return this.services.computeIfAbsent(name, (added) -> new ServiceState(this.settings, this.daemons));
 	}
 
+	/**
+	 * Returns what peers told about their load.
+	 * @return the load
+	 */
+	public FleetLoad fleetLoad() {
+		return this.fleetLoad;
+	}
+
+	/**
+	 * Returns how many requests this daemon gets.
+	 * @param now the monotonic time in milliseconds
+	 * @return the requests that it gets, by service
+	 */
+	public List<ServiceLoad> loads(long now) {
+		return this.services.entrySet()
+			.stream()
+			.map((entry) -> new ServiceLoad(entry.getKey(), entry.getValue().rate(now) * MILLISECONDS_PER_SECOND))
+			.filter((load) -> load.perSecond() >= LOAD_TOLD_FROM)
+			.sorted(Comparator.comparingDouble(ServiceLoad::perSecond).reversed())
+			.limit(LOADS_TOLD)
+			.toList();
+	}
+
+	/**
+	 * Estimates how many slots of a service the fleet uses.
+	 * @param now the monotonic time in milliseconds
+	 * @param name the service
+	 * @return the number of slots
+	 */
+	public double busySlots(long now, ServiceName name) {
+		ServiceState service = service(name);
+		double perSecond = this.fleetLoad.average(now, name, service.rate(now) * MILLISECONDS_PER_SECOND);
+		return perSecond / MILLISECONDS_PER_SECOND * this.daemons * service.duration();
+	}
+
 	/**
 	 * Returns the number of live daemons.
 	 * @return the number, at least 1
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServiceState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServiceState.java
@@ -62,13 +62,20 @@
 	}
 
 	/**
-	 * Estimates how many slots the fleet uses, from the requests that this daemon gets.
+	 * Returns how long requests of the service take recently.
+	 * @return the average in milliseconds
+	 */
+	public double duration() {
+		return this.duration;
+	}
+
+	/**
+	 * Returns how many requests of callers this daemon gets.
 	 * @param now the monotonic time in milliseconds
-	 * @param daemons the number of live daemons
-	 * @return the number of slots
+	 * @return the requests in a millisecond
 	 */
-	public double busySlots(long now, int daemons) {
-		return arrivals(now) / LOAD_MILLISECONDS * this.duration * daemons;
+	public double rate(long now) {
+		return arrivals(now) / LOAD_MILLISECONDS;
 	}
 
 	private double arrivals(long now) {
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessage.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessage.java
@@ -15,24 +15,27 @@
  * @param members other daemons that the sender heard of
  * @param news what the sender saw of backend servers
  * @param rumours what the sender believes of suspected backend servers
+ * @param loads how many requests the sender gets
  */
 public record PeerMessage(Peer sender, long revision, long revisionAge, long steadyFor, List<Heard> members,
-		List<ServerNews> news, List<Rumour> rumours) {
+		List<ServerNews> news, List<Rumour> rumours, List<ServiceLoad> loads) {
 
 	public PeerMessage {
 		members = List.copyOf(members);
 		news = List.copyOf(news);
 		rumours = List.copyOf(rumours);
+		loads = List.copyOf(loads);
 	}
 
 	/**
-	 * Returns this message with what the sender believes.
+	 * Returns this message with what the sender believes and gets.
 	 * @param believed what it believes of suspected servers
+	 * @param gets how many requests it gets
 	 * @return the message
 	 */
-	public PeerMessage withRumours(List<Rumour> believed) {
+	public PeerMessage with(List<Rumour> believed, List<ServiceLoad> gets) {
 		return new PeerMessage(this.sender, this.revision, this.revisionAge, this.steadyFor, this.members, this.news,
-				believed);
+				believed, gets);
 	}
 
 	/**
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
@@ -13,6 +13,7 @@
 import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.Region;
+import org.wigeonmast.core.ServiceName;
 
 /**
  * Encodes datagrams in the format of protocol buffers. Generated classes are not used, so
@@ -38,6 +39,8 @@
 
 	private static final int STEADY_FOR = 8;
 
+	private static final int LOAD = 9;
+
 	private static final int ADDRESS = 1;
 
 	private static final int PORT = 2;
@@ -56,6 +59,13 @@
 
 	private static final int EVIDENCE_AGE = 3;
 
+	private static final int SERVICE = 1;
+
+	private static final int RATE = 2;
+
+	/** Unit of a rate on the wire: hundredths of a request in a second. */
+	private static final double RATE_UNITS = 100;
+
 	private static final int WHOLE = 100;
 
 	private static final char REGION_END = '/';
@@ -104,6 +114,12 @@
 					inner.writeUInt64(EVIDENCE_AGE, rumour.age());
 				}));
 			}
+			for (ServiceLoad load : message.loads()) {
+				out.writeByteArray(LOAD, write((inner) -> {
+					inner.writeString(SERVICE, load.service().value());
+					inner.writeUInt32(RATE, (int) Math.round(load.perSecond() * RATE_UNITS));
+				}));
+			}
 		});
 	}
 
@@ -123,6 +139,7 @@
 		List<PeerMessage.Heard> members = new ArrayList<>();
 		List<ServerNews> news = new ArrayList<>();
 		List<Rumour> rumours = new ArrayList<>();
+		List<ServiceLoad> loads = new ArrayList<>();
 		for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
 			switch (WireFormat.getTagFieldNumber(tag)) {
 				case DOMAIN_NAME -> domains.add(domain(in.readString()));
@@ -134,13 +151,14 @@
 					.add(readPeer(in.readByteArray(), domains, (sender != null) ? sender.peer().address().port() : 0));
 				case NEWS -> news.add(readNews(in.readByteArray()));
 				case RUMOUR -> rumours.add(readRumour(in.readByteArray()));
+				case LOAD -> loads.add(readLoad(in.readByteArray()));
 				default -> in.skipField(tag);
 			}
 		}
 		if (sender == null || revisionAge < 0 || steadyFor < 0) {
 			throw new IOException("The sender or a usable age is missing");
 		}
-		return new PeerMessage(sender.peer(), revision, revisionAge, steadyFor, members, news, rumours);
+		return new PeerMessage(sender.peer(), revision, revisionAge, steadyFor, members, news, rumours, loads);
 	}
 
 	private static FailureDomain domain(String text) throws IOException {
@@ -246,6 +264,23 @@
 		return new Rumour(new BackendServerId(server), percent, age);
 	}
 
+	private static ServiceLoad readLoad(byte[] bytes) throws IOException {
+		CodedInputStream in = CodedInputStream.newInstance(bytes);
+		String service = "";
+		int rate = 0;
+		for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+			switch (WireFormat.getTagFieldNumber(tag)) {
+				case SERVICE -> service = in.readString();
+				case RATE -> rate = in.readUInt32();
+				default -> in.skipField(tag);
+			}
+		}
+		if (service.isEmpty() || rate < 0) {
+			throw new IOException("A load has no service, or a rate out of range");
+		}
+		return new ServiceLoad(new ServiceName(service), rate / RATE_UNITS);
+	}
+
 	private static byte[] write(Writer writer) {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		CodedOutputStream out = CodedOutputStream.newInstance(bytes);
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerRoster.java
@@ -179,6 +179,9 @@
 		}
 		message.news().forEach((news) -> this.effects.add(new RosterEffect.News(news)));
 		message.rumours().forEach((rumour) -> this.effects.add(new RosterEffect.Rumoured(rumour)));
+		if (!message.members().isEmpty()) {
+			this.effects.add(new RosterEffect.PeerLoad(message.sender().address(), message.loads()));
+		}
 		if (message.revision() >= 0) {
 			this.effects
 				.add(new RosterEffect.PeerRevision(message.revision(), message.revisionAge(), message.steadyFor()));
@@ -241,7 +244,7 @@
 	private void send(HostAddress receiver, List<PeerMessage.Heard> members, List<ServerNews> news) {
 		this.effects.add(new RosterEffect.Send(receiver,
 				new PeerMessage(this.self, this.revision, Math.max(0, this.now - this.confirmedAt),
-						Math.max(0, this.now - this.steadySince), members, news, List.of()),
+						Math.max(0, this.now - this.steadySince), members, news, List.of(), List.of()),
 				news.isEmpty()));
 	}
 
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterEffect.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/RosterEffect.java
@@ -56,6 +56,15 @@
 	record PeerRevision(long revision, long age, long steadyFor) implements RosterEffect {
 	}
 
+	/**
+	 * A peer told how many requests it gets.
+	 *
+	 * @param peer the address of the peer
+	 * @param loads the requests that it gets, by service
+	 */
+	record PeerLoad(HostAddress peer, List<ServiceLoad> loads) implements RosterEffect {
+	}
+
 	/**
 	 * Logs an event.
 	 *
--- /dev/null
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/FleetLoadTests.java
@@ -0,0 +1,48 @@
+package org.wigeonmast.balance.internal;
+
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+import org.wigeonmast.balance.BalanceFixtures;
+import org.wigeonmast.balance.peer.ServiceLoad;
+import org.wigeonmast.core.HostAddress;
+import org.wigeonmast.core.ServiceName;
+
+/** Tests of {@link FleetLoad}. */
+class FleetLoadTests {
+
+	private final FleetLoad load = new FleetLoad();
+
+	/**
+	 * Guards against a daemon that takes two requests by chance for a fleet at its limit,
+	 * and sends work to failing servers for want of room.
+	 */
+	@Test
+	void ownRequestsAreAveragedWithThoseOfPeers() {
+		for (int peer = 1; peer <= 9; peer++) {
+			tell(0, peer, 1);
+		}
+		Truth.assertThat(this.load.average(0, BalanceFixtures.SERVICE, 11)).isWithin(0.001).of(2);
+	}
+
+	/** Guards against counting a peer that gets no requests of the service as unknown. */
+	@Test
+	void peerThatTellsNothingOfAServiceGetsNothing() {
+		tell(0, 1, 4);
+		Truth.assertThat(this.load.average(0, new ServiceName("other"), 2)).isWithin(0.001).of(1);
+	}
+
+	/** Guards against the load of a crest that is over. */
+	@Test
+	void staleLoadIsForgotten() {
+		tell(0, 1, 100);
+		Truth.assertThat(this.load.average(10_000, BalanceFixtures.SERVICE, 2)).isWithin(0.001).of(2);
+	}
+
+	private void tell(long now, int peer, double perSecond) {
+		this.load.told(now, new HostAddress("127.0.0." + peer, 7200),
+				List.of(new ServiceLoad(BalanceFixtures.SERVICE, perSecond)));
+	}
+
+}
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerRosterTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerRosterTests.java
@@ -108,7 +108,7 @@
 					}
 				}
 				case RosterEffect.SizeChanged changed -> this.sizes.put(daemon, changed.daemons());
-				case RosterEffect.News _, RosterEffect.Rumoured _, RosterEffect.PeerRevision _,
+				case RosterEffect.News _, RosterEffect.Rumoured _, RosterEffect.PeerRevision _, RosterEffect.PeerLoad _,
 						RosterEffect.Logged _ -> {
 					// Nothing that these tests look at.
 				}
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -303,14 +303,17 @@
 		switch (effect) {
 			case RosterEffect.Send send -> {
 				PeerMessage message = send.message();
+				long now = this.control.clock().milliseconds();
 				this.datagrams.send(send.receiver(), send.greeting()
-						? message.withRumours(this.coordinator.rumours(this.control.clock().milliseconds())) : message);
+						? message.with(this.coordinator.rumours(now), this.coordinator.loads(now)) : message);
 			}
 			case RosterEffect.SizeChanged changed -> {
 				this.balance.handle(new BalanceInput.FleetSize(changed.daemons()));
 				this.proxy.setLiveDaemons(changed::daemons);
 			}
 			case RosterEffect.Rumoured rumoured -> this.balance.handle(new BalanceInput.Rumoured(rumoured.rumour()));
+			case RosterEffect.PeerLoad load ->
+				this.balance.handle(new BalanceInput.LoadTold(load.peer(), load.loads()));
 			case RosterEffect.News news -> this.balance.handle(new BalanceInput.Told(news.news()));
 			case RosterEffect.PeerRevision peer -> {
 				this.following.handle(new FollowInput.PeerRevision(peer.revision(), peer.age(), peer.steadyFor()));
