Print the story of a request from the logs of daemons

Cause: from the identifier of a failed request to its cause it took a search in the logs of all daemons, one for its server, and the catalogue of events by hand.

Ruled out: asking the daemons, which keep nothing of a request that has ended, and may be gone.

Change: `wigeonmast trace ID [FILE...]` reads logs from files or standard input, prints the request's lines in the order of time over all daemons, with what was known of the server before each attempt, and names the cause.

--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/ExitStatus.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/ExitStatus.java
@@ -25,6 +25,9 @@
 	/** A daemon knows no backend server of the name. */
 	public static final int NO_HOST = 68;
 
+	/** No line of the logs names the request. */
+	public static final int NO_REQUEST = 68;
+
 	/** No daemon answered. */
 	public static final int UNAVAILABLE = 69;
 
--- a/wigeonmast-cli/src/main/java/org/wigeonmast/cli/Main.java
+++ b/wigeonmast-cli/src/main/java/org/wigeonmast/cli/Main.java
@@ -50,6 +50,8 @@
 			  explain HOST     why a backend server has its state, as every daemon sees it;
 			                   HOST is its identifier, its address with port, or the IP address of its host
 			  audit            audit entries in the order of time
+			  trace ID [FILE...]
+			                   the story of a request, from the logs of daemons (standard input without FILE)
 			  demo             a fleet of three daemons in one process with a scripted gray failure (about 30 s)
 
 			options:
@@ -63,7 +65,8 @@
 			the same operators' port.
 
 			exit status: 0 done; 1 a guarantee did not hold in the demo; 64 wrong command line; 65 errors in a checked
-			file; 66 file cannot be read; 68 no daemon knows the host; 69 no daemon answered; 70 defect; 75 some daemons
+			file; 66 file cannot be read; 68 no daemon knows the host, or no line names
+			the request; 69 no daemon answered; 70 defect; 75 some daemons
 			did not answer
 			""";
 
@@ -135,6 +138,7 @@
 				AuditCommand audit = new AuditCommand(this.out, this.errors).setSince(since(line));
 				yield withAdmins(line, operands, 0, audit, audit::addAdmin);
 			}
+			case "trace" -> trace(operands);
 			case "demo" -> new DemoCommand(this.out);
 			default -> throw new ParseException("there is no command '" + arguments.getFirst() + "'");
 		};
@@ -149,6 +153,15 @@
 		return check;
 	}
 
+	private TraceCommand trace(List<String> operands) throws ParseException {
+		if (operands.isEmpty()) {
+			throw new ParseException("trace needs the identifier of a request");
+		}
+		TraceCommand trace = new TraceCommand(operands.getFirst(), System.in, this.out, this.errors);
+		operands.stream().skip(1).forEach((file) -> trace.addFile(Path.of(file)));
+		return trace;
+	}
+
 	private static Command withAdmins(CommandLine line, List<String> operands, int wanted, Command command,
 			Consumer<HostAddress> target) throws ParseException {
 		if (operands.size() != wanted) {
--- a/wigeonmast-cli/src/test/java/org/wigeonmast/cli/CommandTests.java
+++ b/wigeonmast-cli/src/test/java/org/wigeonmast/cli/CommandTests.java
@@ -2,6 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -11,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.wigeonmast.admin.AdminServer;
 import org.wigeonmast.admin.AdminSources;
 import org.wigeonmast.admin.AuditTrail;
@@ -95,6 +98,22 @@
 		Truth.assertThat(run("--version")).isEqualTo(ExitStatus.OK);
 	}
 
+	/** Guards against a story that is not found in a file, and against a silent miss. */
+	@Test
+	void traceReadsLogsFromFiles(@TempDir Path directory) throws Exception {
+		Path log = directory.resolve("edge-1.log");
+		Files.writeString(log,
+				"{\"time\":\"2026-03-26T00:00:01Z\",\"entry\":{\"event\":1201,"
+						+ "\"message\":\"answered 500 by i-7 after 2 ms and 1 attempts\",\"name\":\"ANSWERED\","
+						+ "\"request\":\"9c41\"}}\ntorn\n");
+		Truth.assertThat(run("trace", "9c41", log.toString())).isEqualTo(ExitStatus.OK);
+		Truth.assertThat(this.out.toString()).contains("edge-1.log  1201  answered 500 by i-7");
+		Truth.assertThat(this.errors.toString()).contains("1 lines are not log events");
+		Truth.assertThat(run("trace", "0000", log.toString())).isEqualTo(ExitStatus.NO_REQUEST);
+		Truth.assertThat(run("trace", "9c41", directory.resolve("absent").toString())).isEqualTo(ExitStatus.NO_INPUT);
+		Truth.assertThat(run("trace")).isEqualTo(ExitStatus.USAGE);
+	}
+
 	/** Guards against examples in the pages that do not work. */
 	@Test
 	void examplesOfThePagesAreCorrect() {
