--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEvent.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEvent.java
@@ -65,7 +65,8 @@
 
 	/** A published item is invalid. */
 	ITEM_INVALID(1221, Level.WARN, "item {} at revision {} is invalid: {}",
-			"Check the program that writes the item; an invalid configuration leaves the previous one in force, an invalid record of a server counts as removed."),
+			"Check the program that writes the item; an invalid configuration leaves the previous one "
+					+ "in force, an invalid record of a server counts as removed."),
 
 	/** The published state cannot be read. */
 	STORE_LOST(1222, Level.WARN, "the published state cannot be read: {}; revision {} stays in force",
@@ -73,7 +74,8 @@
 
 	/** The published state can be read again. */
 	STORE_REGAINED(1223, Level.INFO,
-			"the published state can be read again after {} ms, at revision {}; time since the last outage of the store: {} ms",
+			"the published state can be read again after {} ms, at revision {}; "
+					+ "time since the last outage of the store: {} ms",
 			"Nothing to do."),
 
 	/** The store has dropped the history from which the watch was to continue. */
--- a/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchMessage.java
+++ b/wigeonmast-dispatch/src/main/java/org/wigeonmast/dispatch/DispatchMessage.java
@@ -99,7 +99,7 @@
 	 * @param held attempts in flight
 	 * @param waiting tickets that wait for a grant
 	 * @param watermark the lowest ticket not yet issued; lower tickets that are in
-	 * neither list are no longer in use
+	 * neither list will never be used again
 	 */
 	record OutcomeReport(ServiceName service, List<AttemptOutcome> outcomes, List<HeldSlot> held, List<Long> waiting,
 			long watermark) implements DispatchMessage {
--- a/wigeonmast-limit/src/main/java/org/wigeonmast/limit/LimitEvent.java
+++ b/wigeonmast-limit/src/main/java/org/wigeonmast/limit/LimitEvent.java
@@ -16,7 +16,8 @@
 
 	/** The owner of a limit does not answer. */
 	SHARE_EXPIRED(601, Level.WARN, "this daemon's share of {} expired because owner {} did not answer",
-			"Nothing to do unless this repeats for minutes; until the owner answers, the daemon applies an equal share of the limit.");
+			"Nothing to do unless this repeats for minutes; until the owner answers, "
+					+ "the daemon applies an equal share of the limit.");
 
 	private final int number;
 
--- a/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
+++ b/wigeonmast-membership/src/main/java/org/wigeonmast/membership/ownership/Ownership.java
@@ -62,9 +62,8 @@
 		// Most changes concern one region; the ranks of the other regions remain valid.
 		this.ranks.keySet()
 			.removeIf((key) -> !Objects.equals(previous.get(key.region), this.ownerCandidates.get(key.region)));
-		// A suspected reader is replaced at once, because an additional reader costs
-		// little
-		// for a short time.
+		// A suspected reader is replaced at once, because an additional reader for a
+		// short time costs little.
 		this.readerCandidates = candidates(live,
 				(member) -> member.phase() != MemberPhase.LEAVING && member.status() == MemberStatus.LIVE);
 		this.readers.clear();
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyEvent.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyEvent.java
@@ -41,7 +41,8 @@
 
 	/** Dispatch refused a request as not run that may have run. */
 	REFUSAL_CORRECTED(808, Level.ERROR,
-			"The request coordinator reported request {} as not run although it may have been run; the caller was told that the outcome is unknown",
+			"The request coordinator reported request {} as not run although it may have been run; "
+					+ "the caller was told that the outcome is unknown",
 			"This is an error in the program; report it with the log around this entry."),
 
 	/** A response to another request was skipped. */
--- a/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
+++ b/wigeonmast-wire/src/test/java/org/wigeonmast/wire/PeerLinksTests.java
@@ -47,9 +47,8 @@
 		this.receiver.close();
 	}
 
-	// Guards against frames that are lost or truncated when they arrive in one TCP
-	// segment
-	// with the handshake.
+	// Guards against frames that are lost or truncated when they arrive in the TCP
+	// segment of the handshake.
 	@Test
 	void messagesSentWhileConnectingArriveInOrder() throws InterruptedException {
 		for (int index = 0; index < 100; index++) {
