Bound what a server may send before and in an answer

What callers saw: a server that sends answers to other requests, or informational responses, without end kept a caller until its deadline (504 after 10 s in the test) and the daemon reading at full speed; endless bodies of 40 callers had 39 MB of the heap in use at a time, with 1 MiB for each as the only limit.

Cause: lines and header fields are limited by the decoder, but what may precede an answer was not, and the memory for buffered responses had no limit over all requests. The class: a limit for one that has no limit for all.

Ruled out, by the same test on the code before: endless letters, blank lines, control characters, status lines, fields, chunk sizes, chunk extensions and trailers ended at once already (14 of 18 kinds).

MemoryBudget serves request bodies too, which had the same code in ProxyContext. Two metrics show the bytes.

Before: EndlessResponseTests 5 of 20 failed (limits switched off in the work tree). After: 20 of 20 pass; verify of platform and all it needs passes.

Not changed: a well-formed body without end is relayed until the deadline and then reset, because a long stream cannot be told from an endless one.

--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -58,6 +58,12 @@
 	 */
 	private static final int MAX_BUFFERED_RESPONSE_BYTES = 1 << 20;
 
+	/**
+	 * Maximum size in bytes of all responses that are buffered at a time, a fraction of
+	 * the heap.
+	 */
+	private static final int MAX_BUFFERED_MEMORY_BYTES = 16 << 20;
+
 	/** Timeout for connecting to a backend server. */
 	private static final long CONNECT_TIMEOUT_MS = 250;
 
@@ -357,7 +363,7 @@
 		ProxyConfiguration.Timeouts times = ProxyConfiguration.Timeouts.DEFAULTS;
 		ProxyConfiguration.Limits chosenSizes = new ProxyConfiguration.Limits(sizes.requestLine(), limits.headBytes(),
 				limits.bodyBytes(), sizes.replayableBody(), sizes.replayableBodyMemory(), sizes.unsentBytes(),
-				MAX_BUFFERED_RESPONSE_BYTES);
+				MAX_BUFFERED_RESPONSE_BYTES, MAX_BUFFERED_MEMORY_BYTES);
 		ProxyConfiguration.Timeouts chosenTimes = new ProxyConfiguration.Timeouts(limits.headTimeout(), times.body(),
 				limits.idleTimeout(), times.request(), CONNECT_TIMEOUT_MS, BACKEND_IDLE_TIMEOUT_MS,
 				NON_IDEMPOTENT_REUSE_MAX_AGE_MS, DRAIN_IDLE_TIMEOUT_MS, RETRY_AFTER_MS);
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyConfiguration.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyConfiguration.java
@@ -58,9 +58,11 @@
 	 * @param heldResponse the maximum size of a response body that is buffered as a whole
 	 * before any of it is relayed, so that a truncated response can be replaced; 0 relays
 	 * each part at once
+	 * @param heldResponseMemory the total memory for buffered response bodies; when it is
+	 * exhausted, responses are relayed part by part
 	 */
 	public record Limits(int requestLine, int headers, long body, int replayableBody, long replayableBodyMemory,
-			int unsentBytes, int heldResponse) {
+			int unsentBytes, int heldResponse, long heldResponseMemory) {
 
 		/**
 		 * Creates limits without buffering of responses.
@@ -75,12 +77,12 @@
 		 */
 		public Limits(int requestLine, int headers, long body, int replayableBody, long replayableBodyMemory,
 				int unsentBytes) {
-			this(requestLine, headers, body, replayableBody, replayableBodyMemory, unsentBytes, 0);
+			this(requestLine, headers, body, replayableBody, replayableBodyMemory, unsentBytes, 0, 0);
 		}
 
 		/** The default limits. */
 		public static final Limits DEFAULTS = new Limits(8 * 1024, 16 * 1024, 1024L * 1024 * 1024, 64 * 1024,
-				32L * 1024 * 1024, 64 * 1024, 0);
+				32L * 1024 * 1024, 64 * 1024, 0, 0);
 
 	}
 
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -84,6 +84,8 @@
 
 	private @Nullable ByteBuf bufferedBody;
 
+	private long reservedBytes;
+
 	private long sentAtNanos;
 
 	private long headAtNanos;
@@ -267,9 +269,12 @@
 			fail("The response " + head.status().code() + " is not the server's answer to this request", false);
 			return;
 		}
-		long idleLimit = ResponseChecks.idleLimitMs(head);
-		if (idleLimit != ResponseChecks.NO_LIMIT && this.connection != null) {
-			this.connection.setIdleLimit(idleLimit - IDLE_MARGIN_MS);
+		if (this.connection != null) {
+			this.connection.onAnswerStarted();
+			long idleLimit = ResponseChecks.idleLimitMs(head);
+			if (idleLimit != ResponseChecks.NO_LIMIT) {
+				this.connection.setIdleLimit(idleLimit - IDLE_MARGIN_MS);
+			}
 		}
 		if (this.context.configuration().limits().heldResponse() > 0) {
 			this.state = State.HOLDING;
@@ -294,13 +299,15 @@
 		if (this.bufferedBody == null) {
 			this.bufferedBody = Unpooled.buffer();
 		}
+		boolean reserved = reserveMemory(content.content().readableBytes());
 		this.bufferedBody.writeBytes(content.content());
 		content.release();
 		if (last) {
 			this.responseComplete = true;
 			releaseConnection();
 		}
-		else if (this.bufferedBody.readableBytes() <= this.context.configuration().limits().heldResponse()) {
+		else if (reserved
+				&& this.bufferedBody.readableBytes() <= this.context.configuration().limits().heldResponse()) {
 			requestNext();
 			return;
 		}
@@ -309,6 +316,12 @@
 		}
 	}
 
+	private boolean reserveMemory(int bytes) {
+		boolean reserved = this.context.responseMemory().tryReserve(bytes);
+		this.reservedBytes += reserved ? bytes : 0;
+		return reserved;
+	}
+
 	private void onContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skippingInformational || this.skippingForeign) {
@@ -417,6 +430,8 @@
 	void end() {
 		this.state = State.ENDED;
 		this.bufferedBody = null;
+		this.context.responseMemory().release(this.reservedBytes);
+		this.reservedBytes = 0;
 		if (this.timer != null) {
 			this.timer.cancel(false);
 		}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
@@ -52,12 +52,18 @@
 	 */
 	void attach(Attempt newAttempt, boolean headRequest) {
 		this.attempt = newAttempt;
-		this.decoder.setHeadRequest(headRequest);
+		this.decoder.awaitAnswer(headRequest);
 	}
 
 	/** Detaches the attempt; any further message closes the connection. */
 	void detach() {
 		this.attempt = null;
+		this.decoder.awaitAnswer(false);
+	}
+
+	/** Records that the last response head belongs to the attempt's answer. */
+	void onAnswerStarted() {
+		this.decoder.onAnswerStarted();
 	}
 
 	/**
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
@@ -60,7 +60,9 @@
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
-	private long replayableBytes;
+	private final MemoryBudget requestMemory;
+
+	private final MemoryBudget responseMemory;
 
 	private @Nullable CompletableFuture<Void> drainFuture;
 
@@ -92,6 +94,10 @@
 		this.eventLoop = eventLoop;
 		this.pool = new BackendPool(this::configuration, clock, liveDaemons, eventLoop, metrics);
 		this.admission = new RequestAdmission(this);
+		this.requestMemory = new MemoryBudget(() -> this.configuration.limits().replayableBodyMemory(),
+				metrics.heldRequestBytes());
+		this.responseMemory = new MemoryBudget(() -> this.configuration.limits().heldResponseMemory(),
+				metrics.heldResponseBytes());
 	}
 
 	/**
@@ -247,20 +253,19 @@
 	}
 
 	/**
-	 * Reserves memory for buffering a request body.
-	 * @param bytes the number of bytes
-	 * @return whether the memory was reserved
+	 * Returns the memory for buffered request bodies.
+	 * @return the budget
 	 */
-	boolean reserveBodyMemory(int bytes) {
-		if (this.replayableBytes + bytes > this.configuration.limits().replayableBodyMemory()) {
-			return false;
-		}
-		this.replayableBytes += bytes;
-		return true;
+	MemoryBudget requestMemory() {
+		return this.requestMemory;
 	}
 
-	void releaseBodyMemory(long bytes) {
-		this.replayableBytes -= bytes;
+	/**
+	 * Returns the memory for buffered response bodies.
+	 * @return the budget
+	 */
+	MemoryBudget responseMemory() {
+		return this.responseMemory;
 	}
 
 }
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyMetrics.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyMetrics.java
@@ -29,6 +29,10 @@
 
 	private static final String CALLER_CONNECTIONS = "proxy.caller-connections";
 
+	private static final String HELD_REQUEST_BYTES = "proxy.held-request-bytes";
+
+	private static final String HELD_RESPONSE_BYTES = "proxy.held-response-bytes";
+
 	private final Meter requests;
 
 	private final Counter inFlight;
@@ -41,6 +45,10 @@
 
 	private final Counter callerConnections;
 
+	private final Counter heldRequestBytes;
+
+	private final Counter heldResponseBytes;
+
 	/**
 	 * Registers the metrics.
 	 * @param registry the registry
@@ -55,6 +63,8 @@
 		this.addedLatency = registry.timer(ADDED_LATENCY);
 		this.backendConnections = registry.counter(BACKEND_CONNECTIONS);
 		this.callerConnections = registry.counter(CALLER_CONNECTIONS);
+		this.heldRequestBytes = registry.counter(HELD_REQUEST_BYTES);
+		this.heldResponseBytes = registry.counter(HELD_RESPONSE_BYTES);
 	}
 
 	void recordRequestStarted() {
@@ -86,6 +96,14 @@
 		this.callerConnections.inc(change);
 	}
 
+	Counter heldRequestBytes() {
+		return this.heldRequestBytes;
+	}
+
+	Counter heldResponseBytes() {
+		return this.heldResponseBytes;
+	}
+
 	/** Outcome of a request for the proxy. */
 	enum Outcome {
 
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestBody.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestBody.java
@@ -63,7 +63,7 @@
 	 */
 	boolean reserveMemory(int bytes) {
 		if (this.reservedBytes + bytes > this.context.configuration().limits().replayableBody()
-				|| !this.context.reserveBodyMemory(bytes)) {
+				|| !this.context.requestMemory().tryReserve(bytes)) {
 			return false;
 		}
 		this.reservedBytes += bytes;
@@ -112,7 +112,7 @@
 	}
 
 	private void releaseReservation() {
-		this.context.releaseBodyMemory(this.reservedBytes);
+		this.context.requestMemory().release(this.reservedBytes);
 		this.reservedBytes = 0;
 	}
 
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/HeaderConventionsTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/HeaderConventionsTests.java
@@ -184,7 +184,8 @@
 			ProxyConfiguration.Limits limits = defaults.limits();
 			return new ProxyConfiguration(defaults.bindAddress(), defaults.daemonName(), defaults.callerConnections(),
 					new ProxyConfiguration.Limits(limits.requestLine(), limits.headers(), limits.body(),
-							limits.replayableBody(), limits.replayableBodyMemory(), limits.unsentBytes(), 1 << 20),
+							limits.replayableBody(), limits.replayableBodyMemory(), limits.unsentBytes(), 1 << 20,
+							8 << 20),
 					defaults.timeouts(), CONVENTIONS);
 		};
 		return new TestProxy(backend.description(4), change);
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
@@ -28,6 +28,8 @@
 
 	private static final long ROUTE_TIMEOUT_MS = 15_000;
 
+	private final MetricRegistry metrics = new MetricRegistry();
+
 	private final ShiftedClock clock = new ShiftedClock();
 
 	private final BlockingQueue<RequestEvent> events = new LinkedBlockingQueue<>();
@@ -50,7 +52,7 @@
 		this.backend = backend;
 		ProxyConfiguration configuration = change.apply(ProxyConfiguration.defaults(new HostAddress("127.0.0.1", 0)));
 		this.server = new ProxyServer(configuration, this.clock, () -> new FakeManifest(ROUTE_TIMEOUT_MS), this::handle,
-				new MetricRegistry());
+				this.metrics);
 		this.address = this.server.start();
 	}
 
@@ -71,6 +73,10 @@
 		this.clock.frozen = this.clock.system.milliseconds();
 	}
 
+	long counter(String name) {
+		return this.metrics.counter(name).getCount();
+	}
+
 	ProxyServer server() {
 		return this.server;
 	}
