Spread requests over all servers while a tenth of them fails

Cause, shown by a simulation of 36 daemons before 16 servers that fail in episodes: suspicion of a server that gets no requests decays to the share of servers in an episode and no further, and one that does best in its failure domain takes nearly all requests, so that sound servers get none for seconds. While few requests fail this costs callers nothing. When other servers begin to fail, the fleet goes on using too few.

Change: while more than 8 % of a service's recent requests failed, as seen by the whole fleet, part of its requests is spread evenly over the servers without a recent failure, so that each gets about 2.5 a second. Long requests stay in their region.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -213,7 +213,8 @@
 		RequestDescription description = request.description;
 		ServiceState service = this.registry.service(description.service());
 		ServerState server = this.selector.select(now, service.servers(), request.triedServers, description.workClass(),
-				request.isRepeatable(), this.registry.busySlots(now, description.service()));
+				request.isRepeatable(), this.registry.busySlots(now, description.service()),
+				this.registry.spreadShare(now, description.service()));
 		if (server == null || request.lastAttempt >= MAX_ATTEMPTS) {
 			return false;
 		}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/CostBasedServerSelector.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/CostBasedServerSelector.java
@@ -105,16 +105,21 @@
 	 * @param workClass the work class of the request
 	 * @param idempotent whether the request may be sent to another server after a failure
 	 * @param busySlots the number of slots of the service that the fleet uses
+	 * @param spreadShare the share of requests that are spread over all servers
 	 * @return the server, or {@code null} if there is no usable one left
 	 */
 	public @Nullable ServerState select(long now, Collection<ServerState> servers, Set<BackendServerId> tried,
-			WorkClass workClass, boolean idempotent, double busySlots) {
+			WorkClass workClass, boolean idempotent, double busySlots, double spreadShare) {
 		List<ServerState> usable = new ArrayList<>(servers.size());
 		for (ServerState server : servers) {
 			if (server.isUsable()) {
 				usable.add(server);
 			}
 		}
+		ServerState spread = (this.random.nextDouble() < spreadShare) ? selectAny(now, usable, tried, workClass) : null;
+		if (spread != null) {
+			return spread;
+		}
 		Set<ServerState> spareServers = mostSuspected(now, usable, busySlots);
 		boolean retryable = idempotent && workClass == WorkClass.SHORT;
 		ServerState best = null;
@@ -137,6 +142,21 @@
 		return best;
 	}
 
+	// Selects evenly among the servers that are not known to be in trouble just now.
+	private @Nullable ServerState selectAny(long now, List<ServerState> usable, Set<BackendServerId> tried,
+			WorkClass workClass) {
+		List<ServerState> candidates = usable.stream()
+			.filter((server) -> !tried.contains(server.record().id()) && !server.hasFailedRecently(now)
+					&& !server.hasShed(now) && !server.isUnreachable(now)
+					&& (workClass != WorkClass.LONG || isInOwnRegion(server)))
+			.toList();
+		return candidates.isEmpty() ? null : candidates.get(this.random.nextInt(candidates.size()));
+	}
+
+	private boolean isInOwnRegion(ServerState server) {
+		return server.record().failureDomain().region().equals(this.home.region());
+	}
+
 	// Returns the most suspected servers that the service can do without: at most the
 	// spare share of the usable servers, and at most so many that the utilization of the
 	// others stays within MAX_UTILIZATION; the number is rounded up. Only the suspicion
@@ -157,7 +177,7 @@
 		if (domain.equals(this.home)) {
 			return 0;
 		}
-		if (domain.region().equals(this.home.region())) {
+		if (isInOwnRegion(server)) {
 			return longRequest ? OTHER_DOMAIN_LONG_COST : OTHER_DOMAIN_COST;
 		}
 		return longRequest ? OTHER_REGION_LONG_COST : OTHER_REGION_COST;
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
@@ -35,6 +35,15 @@
 	/** Minimum failure probability of a server in a suspicion report. */
 	private static final double MIN_REPORTED_PROBABILITY = 0.35;
 
+	/**
+	 * Share of a service's requests that must have failed recently for a part of its
+	 * requests to be spread over all servers.
+	 */
+	private static final double SPREAD_FAILURE_SHARE = 0.08;
+
+	/** Requests per second that each server receives of the requests that are spread. */
+	private static final double SPREAD_REQUESTS_PER_SECOND = 2.5;
+
 	private static final double PERCENT = 100;
 
 	private final Map<ServiceName, ServiceState> services = new HashMap<>();
@@ -99,8 +108,29 @@
 	 */
 	public double busySlots(long now, ServiceName name) {
 		ServiceState service = service(name);
-		double perSecond = this.fleetLoad.averageRate(now, name, service.requestsPerMs(now) * MS_PER_SECOND);
-		return perSecond / MS_PER_SECOND * this.daemons * service.averageDurationMs();
+		return fleetRequestsPerSecond(now, name) / MS_PER_SECOND * service.averageDurationMs();
+	}
+
+	/**
+	 * Returns the share of a service's requests that are to be spread over all its
+	 * servers, so that each server receives some of them although others are preferred.
+	 * @param now the current monotonic time in milliseconds
+	 * @param name the service
+	 * @return the share; 0 while few requests fail
+	 */
+	public double spreadShare(long now, ServiceName name) {
+		ServiceState service = service(name);
+		double perSecond = fleetRequestsPerSecond(now, name);
+		double recentRequests = perSecond * RecentFailures.WINDOW_MS / MS_PER_SECOND;
+		if (service.recentFailures().count(now) <= recentRequests * SPREAD_FAILURE_SHARE) {
+			return 0;
+		}
+		return Math.min(1, service.servers().size() * SPREAD_REQUESTS_PER_SECOND / perSecond);
+	}
+
+	private double fleetRequestsPerSecond(long now, ServiceName name) {
+		double ownRate = service(name).requestsPerMs(now) * MS_PER_SECOND;
+		return this.fleetLoad.averageRate(now, name, ownRate) * this.daemons;
 	}
 
 	/**
@@ -164,7 +194,7 @@
 	 * @param kind the kind of observation
 	 */
 	public void recordObservation(long now, ServerState server, ServerObservation.Kind kind) {
-		server.observe(now, kind);
+		observe(now, server, kind);
 		if (server.tryBeginReport(now, kind)) {
 			this.effects.accept(new BalanceEffect.ReportObservation(new ServerObservation(server.record().id(), kind),
 					server.record().failureDomain().region()));
@@ -172,6 +202,13 @@
 		logSuspicionChange(now, server, kind, "observed");
 	}
 
+	private void observe(long now, ServerState server, ServerObservation.Kind kind) {
+		server.observe(now, kind);
+		if (kind != ServerObservation.Kind.SERVED) {
+			service(server.record().service()).recentFailures().record(now);
+		}
+	}
+
 	/**
 	 * Records a successful answer, which is reported to peers only if the server is
 	 * avoided.
@@ -195,7 +232,7 @@
 	public void recordPeerObservation(long now, ServerObservation observation) {
 		ServerState server = this.servers.get(observation.server());
 		if (server != null) {
-			server.observe(now, observation.kind());
+			observe(now, server, observation.kind());
 			logSuspicionChange(now, server, observation.kind(), "reported by a peer");
 		}
 	}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
@@ -54,7 +54,7 @@
 
 	private boolean mismatched;
 
-	private long lastFailureAt = Long.MIN_VALUE;
+	private long lastFailureAt = Long.MIN_VALUE / 2;
 
 	private final long[] nextReportAt = new long[ServerObservation.Kind.values().length];
 
@@ -113,6 +113,15 @@
 		return sentAt > this.lastFailureAt;
 	}
 
+	/**
+	 * Returns whether a request to the server is known to have failed recently.
+	 * @param now the current monotonic time in milliseconds
+	 * @return whether one failed within {@link RecentFailures#WINDOW_MS}
+	 */
+	boolean hasFailedRecently(long now) {
+		return now - this.lastFailureAt < RecentFailures.WINDOW_MS;
+	}
+
 	/**
 	 * Records that this daemon could not connect; the time of avoidance doubles each
 	 * time.
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServiceState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServiceState.java
@@ -28,6 +28,8 @@
 
 	private final RetryBudgetShare retryBudget;
 
+	private final RecentFailures recentFailures = new RecentFailures();
+
 	private double arrivals;
 
 	private long arrivalsAt;
@@ -82,6 +84,10 @@
 		return this.arrivals * Math.exp((this.arrivalsAt - now) / LOAD_DECAY_MS);
 	}
 
+	RecentFailures recentFailures() {
+		return this.recentFailures;
+	}
+
 	public RetryBudgetShare retryBudget() {
 		return this.retryBudget;
 	}
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/CostBasedServerSelectorTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/CostBasedServerSelectorTests.java
@@ -54,7 +54,7 @@
 		this.servers.getFirst().observe(0, ServerObservation.Kind.FAILED);
 		int used = 0;
 		for (int i = 0; i < CHOICES; i++) {
-			ServerState selection = this.selector.select(0, this.servers, Set.of(), WorkClass.SHORT, false, 7.5);
+			ServerState selection = this.selector.select(0, this.servers, Set.of(), WorkClass.SHORT, false, 7.5, 0);
 			used += (selection == this.servers.getFirst()) ? 1 : 0;
 		}
 		Truth.assertThat(used).isGreaterThan(CHOICES / 50);
@@ -84,7 +84,7 @@
 		this.servers.getFirst().observe(0, ServerObservation.Kind.FAILED);
 		int near = 0;
 		for (int i = 0; i < CHOICES; i++) {
-			ServerState selection = this.selector.select(0, this.servers, Set.of(), WorkClass.LONG, true, 0);
+			ServerState selection = this.selector.select(0, this.servers, Set.of(), WorkClass.LONG, true, 0, 0);
 			near += (selection != this.servers.getFirst()) ? 1 : 0;
 		}
 		Truth.assertThat(near).isGreaterThan(CHOICES * 95 / 100);
@@ -121,8 +121,8 @@
 	void noServerIsChosenWhenAllWereTriedOrLeave() {
 		add(1, BalanceFixtures.HOME);
 		Truth
-			.assertThat(
-					this.selector.select(0, this.servers, Set.of(new BackendServerId("s0")), WorkClass.SHORT, true, 0))
+			.assertThat(this.selector.select(0, this.servers, Set.of(new BackendServerId("s0")), WorkClass.SHORT, true,
+					0, 0))
 			.isNull();
 	}
 
@@ -135,7 +135,7 @@
 	private Map<String, Double> selectionShares(WorkClass workClass) {
 		Map<String, Double> shares = new HashMap<>();
 		for (int i = 0; i < CHOICES; i++) {
-			ServerState selection = this.selector.select(0, this.servers, Set.of(), workClass, false, 0);
+			ServerState selection = this.selector.select(0, this.servers, Set.of(), workClass, false, 0, 0);
 			if (selection != null) {
 				shares.merge(selection.record().id().value(), 1.0 / CHOICES, Double::sum);
 			}
