Spread fewer requests, and only within the region

At few requests a second two failures began the spread, overdue requests and refusals counted too, and all requests of a small service were spread, over both regions.

Change: only failed requests count, four at least and 7 % of the recent ones; each server gets about one spread request a second; the region is not left.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/CostBasedServerSelector.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/CostBasedServerSelector.java
@@ -116,7 +116,7 @@
 				usable.add(server);
 			}
 		}
-		ServerState spread = (this.random.nextDouble() < spreadShare) ? selectAny(now, usable, tried, workClass) : null;
+		ServerState spread = (this.random.nextDouble() < spreadShare) ? selectAny(now, usable, tried) : null;
 		if (spread != null) {
 			return spread;
 		}
@@ -142,13 +142,12 @@
 		return best;
 	}
 
-	// Selects evenly among the servers that are not known to be in trouble just now.
-	private @Nullable ServerState selectAny(long now, List<ServerState> usable, Set<BackendServerId> tried,
-			WorkClass workClass) {
+	// Selects evenly among the servers of the region that are not known to be in trouble
+	// just now.
+	private @Nullable ServerState selectAny(long now, List<ServerState> usable, Set<BackendServerId> tried) {
 		List<ServerState> candidates = usable.stream()
 			.filter((server) -> !tried.contains(server.record().id()) && !server.hasFailedRecently(now)
-					&& !server.hasShed(now) && !server.isUnreachable(now)
-					&& (workClass != WorkClass.LONG || isInOwnRegion(server)))
+					&& !server.hasShed(now) && !server.isUnreachable(now) && isInOwnRegion(server))
 			.toList();
 		return candidates.isEmpty() ? null : candidates.get(this.random.nextInt(candidates.size()));
 	}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
@@ -39,10 +39,13 @@
 	 * Share of a service's requests that must have failed recently for a part of its
 	 * requests to be spread over all servers.
 	 */
-	private static final double SPREAD_FAILURE_SHARE = 0.08;
+	private static final double SPREAD_FAILURE_SHARE = 0.07;
+
+	/** Number of recent failures below which their share says little. */
+	private static final int MIN_SPREAD_FAILURES = 4;
 
 	/** Requests per second that each server receives of the requests that are spread. */
-	private static final double SPREAD_REQUESTS_PER_SECOND = 2.5;
+	private static final double SPREAD_REQUESTS_PER_SECOND = 1;
 
 	private static final double PERCENT = 100;
 
@@ -122,7 +125,8 @@
 		ServiceState service = service(name);
 		double perSecond = fleetRequestsPerSecond(now, name);
 		double recentRequests = perSecond * RecentFailures.WINDOW_MS / MS_PER_SECOND;
-		if (service.recentFailures().count(now) <= recentRequests * SPREAD_FAILURE_SHARE) {
+		int failures = service.recentFailures().count(now);
+		if (failures < MIN_SPREAD_FAILURES || failures <= recentRequests * SPREAD_FAILURE_SHARE) {
 			return 0;
 		}
 		return Math.min(1, service.servers().size() * SPREAD_REQUESTS_PER_SECOND / perSecond);
@@ -204,7 +208,7 @@
 
 	private void observe(long now, ServerState server, ServerObservation.Kind kind) {
 		server.observe(now, kind);
-		if (kind != ServerObservation.Kind.SERVED) {
+		if (kind == ServerObservation.Kind.FAILED) {
 			service(server.record().service()).recentFailures().record(now);
 		}
 	}
