--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/FailingFleetSimulation.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/FailingFleetSimulation.java
@@ -12,8 +12,8 @@
 
 import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.HostAddress;
-import org.wigeonmast.core.RequestId;
 import org.wigeonmast.core.Region;
+import org.wigeonmast.core.RequestId;
 import org.wigeonmast.dispatch.AttemptReport;
 import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.dispatch.RequestEvent;
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/CostBasedServerSelectorTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/internal/CostBasedServerSelectorTests.java
@@ -116,6 +116,31 @@
 		Truth.assertThat(selectionShares(WorkClass.LONG)).containsKey("s0");
 	}
 
+	/** Guards against a server that stays unused because nothing renews its suspicion. */
+	@Test
+	void spreadRequestsReachAServerWithAnOldFailure() {
+		add(4, BalanceFixtures.HOME);
+		this.servers.getFirst().observe(0, ServerObservation.Kind.FAILED);
+		Truth.assertThat(spreadShares(10_000).get("s0")).isWithin(0.05).of(0.25);
+	}
+
+	/** Guards against sending more requests to a server that fails just now. */
+	@Test
+	void spreadRequestsAvoidAServerThatJustFailed() {
+		add(4, BalanceFixtures.HOME);
+		this.servers.getFirst().observe(0, ServerObservation.Kind.FAILED);
+		Truth.assertThat(spreadShares(1000)).doesNotContainKey("s0");
+	}
+
+	/** Guards against spreading requests over links between regions. */
+	@Test
+	void spreadRequestsStayInTheRegion() {
+		add(1, BalanceFixtures.HOME);
+		add(1, BalanceFixtures.NEAR);
+		add(1, BalanceFixtures.FAR);
+		Truth.assertThat(spreadShares(0).keySet()).containsExactly("s0", "s1");
+	}
+
 	/** Guards against sending a request to the same server twice. */
 	@Test
 	void noServerIsChosenWhenAllWereTriedOrLeave() {
@@ -133,9 +158,17 @@
 	}
 
 	private Map<String, Double> selectionShares(WorkClass workClass) {
+		return shares(0, workClass, 0);
+	}
+
+	private Map<String, Double> spreadShares(long now) {
+		return shares(now, WorkClass.SHORT, 1);
+	}
+
+	private Map<String, Double> shares(long now, WorkClass workClass, double spreadShare) {
 		Map<String, Double> shares = new HashMap<>();
 		for (int i = 0; i < CHOICES; i++) {
-			ServerState selection = this.selector.select(0, this.servers, Set.of(), workClass, false, 0, 0);
+			ServerState selection = this.selector.select(now, this.servers, Set.of(), workClass, false, 0, spreadShare);
 			if (selection != null) {
 				shares.merge(selection.record().id().value(), 1.0 / CHOICES, Double::sum);
 			}
