--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/CostBasedServerSelector.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/CostBasedServerSelector.java
@@ -18,8 +18,10 @@
  * <p>
  * Thread safety: none. Costs are fractions of the value of a request. The selection is
  * random with weights that fall exponentially with the cost (softmax), so that daemons
- * with the same information do not all select the same server. Invariant: suspicion alone
- * never takes more than the spare share of a service's servers out of use.
+ * with the same information do not all select the same server. While many requests fail,
+ * a part of them is spread evenly instead, which renews what is known of servers that are
+ * not preferred. Invariant: suspicion alone never takes more than the spare share of a
+ * service's servers out of use.
  */
 public final class CostBasedServerSelector {
 
@@ -105,7 +107,8 @@
 	 * @param workClass the work class of the request
 	 * @param idempotent whether the request may be sent to another server after a failure
 	 * @param busySlots the number of slots of the service that the fleet uses
-	 * @param spreadShare the share of requests that are spread over all servers
+	 * @param spreadShare the share of requests that are spread evenly over the servers of
+	 * this region without a recent failure
 	 * @return the server, or {@code null} if there is no usable one left
 	 */
 	public @Nullable ServerState select(long now, Collection<ServerState> servers, Set<BackendServerId> tried,
@@ -116,7 +119,7 @@
 				usable.add(server);
 			}
 		}
-		ServerState spread = (this.random.nextDouble() < spreadShare) ? selectAny(now, usable, tried) : null;
+		ServerState spread = (this.random.nextDouble() < spreadShare) ? selectEvenly(now, usable, tried) : null;
 		if (spread != null) {
 			return spread;
 		}
@@ -144,7 +147,7 @@
 
 	// Selects evenly among the servers of the region that are not known to be in trouble
 	// just now.
-	private @Nullable ServerState selectAny(long now, List<ServerState> usable, Set<BackendServerId> tried) {
+	private @Nullable ServerState selectEvenly(long now, List<ServerState> usable, Set<BackendServerId> tried) {
 		List<ServerState> candidates = usable.stream()
 			.filter((server) -> !tried.contains(server.record().id()) && !server.hasFailedRecently(now)
 					&& !server.hasShed(now) && !server.isUnreachable(now) && isInOwnRegion(server))
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
@@ -37,7 +37,7 @@
 
 	/**
 	 * Share of a service's requests that must have failed recently for a part of its
-	 * requests to be spread over all servers.
+	 * requests to be spread evenly.
 	 */
 	private static final double SPREAD_FAILURE_SHARE = 0.07;
 
@@ -115,7 +115,7 @@
 	}
 
 	/**
-	 * Returns the share of a service's requests that are to be spread over all its
+	 * Returns the share of a service's requests that are to be spread evenly over its
 	 * servers, so that each server receives some of them although others are preferred.
 	 * @param now the current monotonic time in milliseconds
 	 * @param name the service
