Drop outdated failures also of services without own requests

Found by reading the change again: recent failures were dropped only when they were counted, at a send, so a daemon that never sends to a service kept every failure that peers reported of it. They are dropped when recorded as well. Besides, each send computed the rate of the whole fleet twice; it is computed for the spread only once enough failures are known. The decisions stay the same. No test shows the memory, as it has no visible effect.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/RecentFailures.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/RecentFailures.java
@@ -7,7 +7,8 @@
  * The failures of a service's requests that this daemon observed or peers reported within
  * the last {@link #WINDOW_MS}.
  * <p>
- * Thread safety: none.
+ * Thread safety: none. Invariant: recording and counting both drop the failures that no
+ * longer count, so that a service to which this daemon sends nothing uses no more memory.
  */
 final class RecentFailures {
 
@@ -21,6 +22,7 @@
 	 * @param now the current monotonic time in milliseconds
 	 */
 	void record(long now) {
+		dropOutdated(now);
 		this.times.addLast(now);
 	}
 
@@ -30,10 +32,14 @@
 	 * @return the number
 	 */
 	int count(long now) {
+		dropOutdated(now);
+		return this.times.size();
+	}
+
+	private void dropOutdated(long now) {
 		while (!this.times.isEmpty() && now - this.times.peekFirst() >= WINDOW_MS) {
 			this.times.removeFirst();
 		}
-		return this.times.size();
 	}
 
 }
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
@@ -123,10 +123,13 @@
 	 */
 	public double spreadShare(long now, ServiceName name) {
 		ServiceState service = service(name);
+		int failures = service.recentFailures().count(now);
+		if (failures < MIN_SPREAD_FAILURES) {
+			return 0;
+		}
 		double perSecond = fleetRequestsPerSecond(now, name);
 		double recentRequests = perSecond * RecentFailures.WINDOW_MS / MS_PER_SECOND;
-		int failures = service.recentFailures().count(now);
-		if (failures < MIN_SPREAD_FAILURES || failures <= recentRequests * SPREAD_FAILURE_SHARE) {
+		if (failures <= recentRequests * SPREAD_FAILURE_SHARE) {
 			return 0;
 		}
 		return Math.min(1, service.servers().size() * SPREAD_REQUESTS_PER_SECOND / perSecond);
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerState.java
@@ -40,6 +40,9 @@
 
 	private static final double UNREACHABLE_LOG_RATIO = 0.8;
 
+	/** A time so long ago that differences to it do not overflow. */
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private final ServerSuspicion suspicion;
 
 	private ServerRecord record;
@@ -54,7 +57,7 @@
 
 	private boolean mismatched;
 
-	private long lastFailureAt = Long.MIN_VALUE / 2;
+	private long lastFailureAt = NEVER;
 
 	private final long[] nextReportAt = new long[ServerObservation.Kind.values().length];
 
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/FailingFleetSimulation.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/FailingFleetSimulation.java
@@ -39,6 +39,8 @@
 
 	private static final long WARM_UP_MS = 4000;
 
+	private static final long DEADLINE_MS = 2000;
+
 	/** Average time between the failure episodes of a server. */
 	private static final double HEALTHY_MS = 13_000;
 
@@ -128,7 +130,7 @@
 		this.requests.put(request.id, request);
 		this.accepted.add(request);
 		handle(request.daemon, new BalanceInput.RequestEventReceived(
-				new RequestEvent.Accepted(BalanceFixtures.request(request.id.value(), false, this.now + WINDOW_MS))));
+				new RequestEvent.Accepted(BalanceFixtures.request(request.id.value(), false, this.now + DEADLINE_MS))));
 		schedule((long) (-Math.log(1 - this.random.nextDouble()) / this.requestsPerMs), this::arrive);
 	}
 
