--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -84,7 +84,7 @@
 
 	private @Nullable ByteBuf bufferedBody;
 
-	private long reservedBytes;
+	private final MemoryReservation bufferedMemory;
 
 	private long sentAtNanos;
 
@@ -100,6 +100,7 @@
 		this.context = context;
 		this.exchange = exchange;
 		this.command = command;
+		this.bufferedMemory = new MemoryReservation(context.responseMemory());
 	}
 
 	/** Acquires a connection and starts the timeout. */
@@ -299,7 +300,7 @@
 		if (this.bufferedBody == null) {
 			this.bufferedBody = Unpooled.buffer();
 		}
-		boolean reserved = reserveMemory(content.content().readableBytes());
+		boolean reserved = this.bufferedMemory.tryReserve(content.content().readableBytes());
 		this.bufferedBody.writeBytes(content.content());
 		content.release();
 		if (last) {
@@ -316,12 +317,6 @@
 		}
 	}
 
-	private boolean reserveMemory(int bytes) {
-		boolean reserved = this.context.responseMemory().tryReserve(bytes);
-		this.reservedBytes += reserved ? bytes : 0;
-		return reserved;
-	}
-
 	private void onContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skippingInformational || this.skippingForeign) {
@@ -430,8 +425,7 @@
 	void end() {
 		this.state = State.ENDED;
 		this.bufferedBody = null;
-		this.context.responseMemory().release(this.reservedBytes);
-		this.reservedBytes = 0;
+		this.bufferedMemory.release();
 		if (this.timer != null) {
 			this.timer.cancel(false);
 		}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestBody.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestBody.java
@@ -20,7 +20,7 @@
 
 	private @Nullable ByteBuf buffer;
 
-	private int reservedBytes;
+	private final MemoryReservation bufferedMemory;
 
 	private long receivedBytes;
 
@@ -30,6 +30,7 @@
 
 	RequestBody(ProxyContext context) {
 		this.context = context;
+		this.bufferedMemory = new MemoryReservation(context.requestMemory());
 	}
 
 	/**
@@ -62,12 +63,8 @@
 	 * @return whether the limits allow the body to stay in memory
 	 */
 	boolean reserveMemory(int bytes) {
-		if (this.reservedBytes + bytes > this.context.configuration().limits().replayableBody()
-				|| !this.context.requestMemory().tryReserve(bytes)) {
-			return false;
-		}
-		this.reservedBytes += bytes;
-		return true;
+		return this.bufferedMemory.bytes() + bytes <= this.context.configuration().limits().replayableBody()
+				&& this.bufferedMemory.tryReserve(bytes);
 	}
 
 	/**
@@ -78,7 +75,7 @@
 		this.streamed = true;
 		ByteBuf bytes = this.buffer;
 		this.buffer = null;
-		releaseReservation();
+		this.bufferedMemory.release();
 		return (bytes != null) ? bytes : Unpooled.EMPTY_BUFFER;
 	}
 
@@ -96,7 +93,7 @@
 			this.buffer.release();
 			this.buffer = null;
 		}
-		releaseReservation();
+		this.bufferedMemory.release();
 	}
 
 	boolean isComplete() {
@@ -111,9 +108,4 @@
 		return this.receivedBytes;
 	}
 
-	private void releaseReservation() {
-		this.context.requestMemory().release(this.reservedBytes);
-		this.reservedBytes = 0;
-	}
-
 }
