Share the proxy that buffers responses among tests and sample without sleep

EndlessResponseTests had copied the conventions and the proxy of HeaderConventionsTests; TestProxy has both now. The bounds stay. AdversarialFleet delivers messages by a method of its own.

--- a/wigeonmast-dispatch/src/test/java/org/wigeonmast/dispatch/AdversarialFleet.java
+++ b/wigeonmast-dispatch/src/test/java/org/wigeonmast/dispatch/AdversarialFleet.java
@@ -134,6 +134,12 @@
 		}
 	}
 
+	private void deliver(int count) {
+		for (int i = 0; i < count; i++) {
+			deliverOne();
+		}
+	}
+
 	private void deliverAll() {
 		for (int i = 0; i < 10_000 && !this.pendingActions.isEmpty(); i++) {
 			this.pendingActions.removeFirst().action.run();
@@ -148,8 +154,8 @@
 		while (this.now < endsAt) {
 			this.now = Math.min(endsAt, this.now + step);
 			this.nodes.forEach(Node::tick);
-			for (int i = this.pendingActions.size(); this.stableOwners && i > 0; i--) {
-				deliverOne();
+			if (this.stableOwners) {
+				deliver(this.pendingActions.size());
 			}
 		}
 	}
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/EndlessResponseTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/EndlessResponseTests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -18,15 +19,8 @@
 @Timeout(60)
 class EndlessResponseTests {
 
-	private static final HeaderConventions CONVENTIONS = new HeaderConventions("Try-Id", "Time-Left", null, null, null,
-			"Not-Run", null, null, "For-Server", "Proof", true, false, true);
-
 	private static final String OWN = "HTTP/1.1 200 OK\r\nTry-Id: t1\r\nProof: p\r\n";
 
-	private static final int MAX_HELD_RESPONSE_BYTES = 1 << 20;
-
-	private static final int MAX_HELD_MEMORY_BYTES = 8 << 20;
-
 	/** Time that the caller allows in milliseconds. */
 	private static final int DEADLINE_MS = 10_000;
 
@@ -41,7 +35,9 @@
 		try (ScriptedServer backend = new ScriptedServer((connection) -> {
 			connection.readMessage();
 			written.complete(writeEndlessly(connection, garbage));
-		}); TestProxy proxy = proxy(backend); RawConnection caller = proxy.connect()) {
+		});
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(100));
+				RawConnection caller = proxy.connect()) {
 			long startedAt = System.nanoTime();
 			caller.write(request(DEADLINE_MS));
 			assertThat(caller.readMessage()).startsWith("HTTP/1.1 502 ");
@@ -58,7 +54,9 @@
 			connection.readMessage();
 			connection.write(OWN + "Content-Length: 2\r\n\r\nok");
 			written.complete(writeEndlessly(connection, Garbage.LETTERS));
-		}); TestProxy proxy = proxy(backend); RawConnection caller = proxy.connect()) {
+		});
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(100));
+				RawConnection caller = proxy.connect()) {
 			caller.write(request(DEADLINE_MS));
 			assertThat(caller.readMessage()).endsWith("\r\n\r\nok");
 			assertThat(written.get(Awaiting.TIMEOUT_SECONDS, TimeUnit.SECONDS)).isLessThan(SOCKET_BUFFER_BYTES);
@@ -74,27 +72,27 @@
 			connection.readMessage();
 			connection.write(OWN + "Transfer-Encoding: chunked\r\n\r\n");
 			writeEndlessly(connection, Garbage.CHUNKS);
-		}); TestProxy proxy = proxy(backend)) {
+		}); TestProxy proxy = TestProxy.holdingResponses(backend.description(100))) {
+			AtomicLong highest = new AtomicLong();
+			// An attempt reports when its share of the memory is as large as it becomes.
+			proxy.setReaction((progress) -> {
+				highest.accumulateAndGet(proxy.counter("proxy.held-response-bytes"), Math::max);
+				return null;
+			});
 			List<RawConnection> connections = new ArrayList<>();
 			for (int i = 0; i < callers; i++) {
 				RawConnection connection = proxy.connect();
 				connection.write(request(deadlineMs));
 				connections.add(connection);
 			}
-			long endsAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs);
-			long highest = 0;
-			while (System.nanoTime() < endsAt) {
-				highest = Math.max(highest, proxy.counter("proxy.held-response-bytes"));
-				Thread.sleep(1);
-			}
-			assertThat(highest).isGreaterThan(MAX_HELD_MEMORY_BYTES / 2);
-			assertThat(highest).isAtMost(MAX_HELD_MEMORY_BYTES);
 			for (RawConnection connection : connections) {
 				String answer = connection.readAll();
 				boolean truthful = answer.endsWith("<reset>") || answer.startsWith("HTTP/1.1 504 ");
 				assertThat(truthful).isTrue();
 				connection.close();
 			}
+			assertThat(highest.get()).isGreaterThan(TestProxy.MAX_HELD_MEMORY_BYTES / 2);
+			assertThat(highest.get()).isAtMost(TestProxy.MAX_HELD_MEMORY_BYTES);
 			assertThat(proxy.counter("proxy.held-response-bytes")).isEqualTo(0);
 		}
 	}
@@ -119,17 +117,6 @@
 		}
 	}
 
-	private static TestProxy proxy(ScriptedServer backend) throws ProxyStartException {
-		return new TestProxy(backend.description(100), (defaults) -> {
-			ProxyConfiguration.Limits limits = defaults.limits();
-			return new ProxyConfiguration(defaults.bindAddress(), defaults.daemonName(), defaults.callerConnections(),
-					new ProxyConfiguration.Limits(limits.requestLine(), limits.headers(), limits.body(),
-							limits.replayableBody(), limits.replayableBodyMemory(), limits.unsentBytes(),
-							MAX_HELD_RESPONSE_BYTES, MAX_HELD_MEMORY_BYTES),
-					defaults.timeouts(), CONVENTIONS);
-		});
-	}
-
 	/** Bytes that never become an answer. */
 	enum Garbage {
 
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/HeaderConventionsTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/HeaderConventionsTests.java
@@ -3,7 +3,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.UnaryOperator;
 
 import org.junit.jupiter.api.Test;
 import org.wigeonmast.dispatch.AttemptReport;
@@ -14,9 +13,6 @@
 /** Tests of a proxy with custom header conventions that buffers whole responses. */
 class HeaderConventionsTests {
 
-	private static final HeaderConventions CONVENTIONS = new HeaderConventions("Try-Id", "Time-Left", null, null, null,
-			"Not-Run", null, null, "For-Server", "Proof", true, false, true);
-
 	private static final String GET = "GET /s HTTP/1.1\r\nHost: h\r\nTry-Id: t1\r\nTime-Left: 5000\r\n\r\n";
 
 	private static final String OK = "HTTP/1.1 200 OK\r\nTry-Id: t1\r\nProof: p\r\nContent-Length: 2\r\n\r\nok";
@@ -43,7 +39,7 @@
 			}
 		};
 		try (ScriptedServer backend = new ScriptedServer(script);
-				TestProxy proxy = proxy(backend);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
 				RawConnection caller = proxy.connect()) {
 			for (int i = 0; i < 2; i++) {
 				caller.write(GET);
@@ -77,7 +73,7 @@
 				connection.close();
 			};
 			try (ScriptedServer backend = new ScriptedServer(script);
-					TestProxy proxy = proxy(backend);
+					TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
 					RawConnection caller = proxy.connect()) {
 				caller.write(GET);
 				assertThat(caller.readMessage()).startsWith("HTTP/1.1 502 ");
@@ -94,7 +90,7 @@
 			connection.close();
 		};
 		try (ScriptedServer backend = new ScriptedServer(script);
-				TestProxy proxy = proxy(backend);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
 				RawConnection caller = proxy.connect()) {
 			caller.write(GET);
 			assertThat(caller.readHead()).startsWith("HTTP/1.1 200 ");
@@ -110,7 +106,7 @@
 			connection.write(OK);
 		};
 		try (ScriptedServer backend = new ScriptedServer(script);
-				TestProxy proxy = proxy(backend);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
 				RawConnection caller = proxy.connect()) {
 			caller.write(GET);
 			caller.readMessage();
@@ -129,7 +125,7 @@
 				"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" };
 		for (String answer : answers) {
 			try (ScriptedServer backend = ScriptedServer.answering(answer);
-					TestProxy proxy = proxy(backend);
+					TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
 					RawConnection caller = proxy.connect()) {
 				caller.write(GET);
 				assertThat(proxy.nextReport(AttemptReport.ResponseStarted.class).notRun()).isTrue();
@@ -142,7 +138,8 @@
 	@Test
 	void callerThatLeavesBehindPipelinedRequestsIsNoticed() throws Exception {
 		ScriptedServer.Script silent = RawConnection::readAll;
-		try (ScriptedServer backend = new ScriptedServer(silent); TestProxy proxy = proxy(backend)) {
+		try (ScriptedServer backend = new ScriptedServer(silent);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4))) {
 			RawConnection caller = proxy.connect();
 			caller.write(GET + GET + GET);
 			proxy.next(RequestEvent.Accepted.class);
@@ -161,7 +158,7 @@
 			}
 		};
 		try (ScriptedServer backend = new ScriptedServer(script);
-				TestProxy proxy = proxy(backend);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
 				RawConnection caller = proxy.connect()) {
 			caller.write(GET.replace("t1", "a") + GET.replace("t1", "b") + GET.replace("t1", "c"));
 			for (String id : new String[] { "a", "b", "c" }) {
@@ -172,23 +169,11 @@
 
 	private static String exchange(String answer) throws Exception {
 		try (ScriptedServer backend = ScriptedServer.answering(answer);
-				TestProxy proxy = proxy(backend);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
 				RawConnection caller = proxy.connect()) {
 			caller.write(GET);
 			return caller.readMessage();
 		}
 	}
 
-	private static TestProxy proxy(ScriptedServer backend) throws ProxyStartException {
-		UnaryOperator<ProxyConfiguration> change = (defaults) -> {
-			ProxyConfiguration.Limits limits = defaults.limits();
-			return new ProxyConfiguration(defaults.bindAddress(), defaults.daemonName(), defaults.callerConnections(),
-					new ProxyConfiguration.Limits(limits.requestLine(), limits.headers(), limits.body(),
-							limits.replayableBody(), limits.replayableBodyMemory(), limits.unsentBytes(), 1 << 20,
-							8 << 20),
-					defaults.timeouts(), CONVENTIONS);
-		};
-		return new TestProxy(backend.description(4), change);
-	}
-
 }
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TestProxy.java
@@ -26,6 +26,14 @@
  */
 final class TestProxy implements AutoCloseable {
 
+	/** Header conventions of servers that repeat the identifier of the request. */
+	static final HeaderConventions ECHOING_CONVENTIONS = new HeaderConventions("Try-Id", "Time-Left", null, null, null,
+			"Not-Run", null, null, "For-Server", "Proof", true, false, true);
+
+	static final int MAX_HELD_RESPONSE_BYTES = 1 << 20;
+
+	static final int MAX_HELD_MEMORY_BYTES = 8 << 20;
+
 	private static final long ROUTE_TIMEOUT_MS = 15_000;
 
 	private final MetricRegistry metrics = new MetricRegistry();
@@ -56,6 +64,23 @@
 		this.address = this.server.start();
 	}
 
+	/**
+	 * Starts a proxy that buffers whole responses of servers that repeat the identifier
+	 * of the request.
+	 * @param backend the server
+	 * @return the proxy
+	 */
+	static TestProxy holdingResponses(BackendServer backend) throws ProxyStartException {
+		return new TestProxy(backend, (defaults) -> {
+			ProxyConfiguration.Limits limits = defaults.limits();
+			return new ProxyConfiguration(defaults.bindAddress(), defaults.daemonName(), defaults.callerConnections(),
+					new ProxyConfiguration.Limits(limits.requestLine(), limits.headers(), limits.body(),
+							limits.replayableBody(), limits.replayableBodyMemory(), limits.unsentBytes(),
+							MAX_HELD_RESPONSE_BYTES, MAX_HELD_MEMORY_BYTES),
+					defaults.timeouts(), ECHOING_CONVENTIONS);
+		});
+	}
+
 	void setRequirement(ConnectionRequirement requirement) {
 		this.requirement = requirement;
 	}
