Take a refusal without identifier on a kept connection for no refusal

Report of other operators: a server writes an earlier refusal once more on a kept connection, and the next caller is told 'not run' for a request that runs. It could happen here if the copy carries no request identifier: the proxy believed any response with the refusal field. Copies with the identifier of the earlier request were skipped already. Change: on a connection that carried another request, a refusal must carry the request's own identifier; otherwise the attempt ends as broken, so the outcome is unknown and non-idempotent work is not sent again. A response with several identifiers belongs to the request only if all are its own. Result: HeaderConventionsTests.repeatedRefusalOnAKeptConnectionSaysNothingAboutTheNextRequest.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -266,6 +266,11 @@
 		this.headAtNanos = System.nanoTime();
 		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreignReceived;
 		this.statedNotRun = conventions().statesNotRun(head);
+		if (this.statedNotRun && !ResponseChecks.hasRequestId(head, conventions()) && !isFirstOnConnection()) {
+			this.statedNotRun = false;
+			fail("A refusal without request identifier may belong to an earlier request", false);
+			return;
+		}
 		if (!this.statedNotRun && !ResponseChecks.isValidAnswer(head, conventions())) {
 			fail("The response " + head.status().code() + " is not the server's answer to this request", false);
 			return;
@@ -286,6 +291,10 @@
 		}
 	}
 
+	private boolean isFirstOnConnection() {
+		return this.connection != null && this.connection.isFirstAttempt() && !this.foreignReceived;
+	}
+
 	private void reportHead(HttpResponse head) {
 		this.state = State.HELD;
 		int status = head.status().code();
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
@@ -37,6 +37,8 @@
 
 	private @Nullable Attempt attempt;
 
+	private int attachedAttempts;
+
 	private long lastProven;
 
 	private long idleLimitMs = Long.MAX_VALUE;
@@ -52,9 +54,19 @@
 	 */
 	void attach(Attempt newAttempt, boolean headRequest) {
 		this.attempt = newAttempt;
+		this.attachedAttempts++;
 		this.decoder.awaitAnswer(headRequest);
 	}
 
+	/**
+	 * Returns whether no other attempt has used the connection, so that no response to
+	 * another request can arrive on it.
+	 * @return whether at most one attempt was attached
+	 */
+	boolean isFirstAttempt() {
+		return this.attachedAttempts <= 1;
+	}
+
 	/** Detaches the attempt; any further message closes the connection. */
 	void detach() {
 		this.attempt = null;
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseChecks.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseChecks.java
@@ -53,8 +53,18 @@
 	 * @return whether it carries the identifier of another request
 	 */
 	static boolean isForeign(HttpResponse head, HeaderConventions conventions, String requestId) {
-		String id = head.headers().get(conventions.requestId());
-		return conventions.requestIdEchoed() && id != null && !id.equals(requestId);
+		return conventions.requestIdEchoed()
+				&& head.headers().getAll(conventions.requestId()).stream().anyMatch((id) -> !id.equals(requestId));
+	}
+
+	/**
+	 * Returns whether a response states to which request it belongs, if servers do so.
+	 * @param head the head of the response
+	 * @param conventions the names of header fields
+	 * @return whether it carries a request identifier, or servers send none
+	 */
+	static boolean hasRequestId(HttpResponse head, HeaderConventions conventions) {
+		return !conventions.requestIdEchoed() || head.headers().contains(conventions.requestId());
 	}
 
 	/**
@@ -71,8 +81,7 @@
 		}
 		boolean proven = head.status().codeClass() != HttpStatusClass.SUCCESS
 				|| HeaderConventions.value(headers, conventions.successProof()) != null;
-		return proven && headers.contains(conventions.requestId())
-				&& !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
+		return proven && hasRequestId(head, conventions) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
 	}
 
 	/**
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/HeaderConventionsTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/HeaderConventionsTests.java
@@ -133,6 +133,30 @@
 		}
 	}
 
+	// Guards against taking an earlier refusal for that of a request that the server
+	// runs.
+	@Test
+	void repeatedRefusalOnAKeptConnectionSaysNothingAboutTheNextRequest() throws Exception {
+		String refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+		for (String id : new String[] { "", "Try-Id: t0\r\n" }) {
+			ScriptedServer.Script script = (connection) -> {
+				connection.readMessage();
+				connection.write(OK.replace("t1", "t0"));
+				connection.readMessage();
+				connection.write(refusal.replace("Not-Run", id + "Not-Run"));
+				connection.readMessage();
+			};
+			try (ScriptedServer backend = new ScriptedServer(script);
+					TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
+					RawConnection caller = proxy.connect()) {
+				caller.write(GET.replace("t1", "t0"));
+				assertThat(caller.readMessage()).endsWith("ok");
+				caller.write(GET.replace("5000", "1500"));
+				assertThat(caller.readMessage()).containsMatch("HTTP/1.1 50[24] ");
+			}
+		}
+	}
+
 	// Guards against not detecting that a caller closed its connection after pipelined
 	// requests.
 	@Test
