Count requests as overdue by the deviation of durations

Cause: a request was overdue after 2.2 average durations. Change: four average deviations after the average, and not before 2.2 averages.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceCoordinator.java
@@ -57,12 +57,6 @@
 	 */
 	private static final double SECOND_SEND_FRACTION = 0.55;
 
-	/**
-	 * Multiple of the average duration of a service's requests after which an unanswered
-	 * request counts as overdue.
-	 */
-	private static final double OVERDUE_FACTOR = 2.2;
-
 	/** Minimum time in milliseconds after which a refused caller may retry. */
 	private static final long MIN_RETRY_AFTER_MS = 50;
 
@@ -242,9 +236,8 @@
 		if (target >= request.description.deadline() - now) {
 			return;
 		}
-		double averageDuration = this.registry.service(request.description.service()).averageDurationMs();
-		this.checks.add(new AttemptCheck(now + Math.min(target, (long) (averageDuration * OVERDUE_FACTOR)), request,
-				number, true));
+		long overdueAfter = this.registry.service(request.description.service()).overdueAfterMs();
+		this.checks.add(new AttemptCheck(now + Math.min(target, overdueAfter), request, number, true));
 		if (request.isRepeatable() && !request.secondSent) {
 			this.checks.add(new AttemptCheck(now + (long) (target * SECOND_SEND_FRACTION), request, number, false));
 		}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServiceState.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServiceState.java
@@ -20,22 +20,16 @@
 	/** Time constant in milliseconds of the exponentially decaying count of requests. */
 	private static final double LOAD_DECAY_MS = 4000;
 
-	/** Weight of a new duration in the moving average. */
-	private static final double DURATION_WEIGHT = 0.1;
-
-	/** Duration in milliseconds that is assumed before the first answer. */
-	private static final double INITIAL_DURATION_MS = 150;
-
 	private final RetryBudgetShare retryBudget;
 
 	private final RecentFailures recentFailures = new RecentFailures();
 
+	private final DurationStatistics durations = new DurationStatistics();
+
 	private double arrivals;
 
 	private long arrivalsAt;
 
-	private double averageDurationMs = INITIAL_DURATION_MS;
-
 	/**
 	 * Creates the state of a service without servers.
 	 * @param settings the settings
@@ -60,7 +54,7 @@
 	 * @param milliseconds the duration in milliseconds
 	 */
 	public void recordDuration(long milliseconds) {
-		this.averageDurationMs += DURATION_WEIGHT * (milliseconds - this.averageDurationMs);
+		this.durations.record(milliseconds);
 	}
 
 	/**
@@ -68,7 +62,15 @@
 	 * @return the average duration in milliseconds
 	 */
 	public double averageDurationMs() {
-		return this.averageDurationMs;
+		return this.durations.averageMs();
+	}
+
+	/**
+	 * Returns the time after which an unanswered request counts as overdue.
+	 * @return the time in milliseconds
+	 */
+	public long overdueAfterMs() {
+		return this.durations.overdueAfterMs();
 	}
 
 	/**
