Begin to spread requests by how much chance may hide

Cause: requests were spread evenly once 7 % of a service's recent requests failed. Change: the threshold is a tenth less one standard deviation of the share: 7 % at 54 requests/s as before, 9 % at 362. The decision is a class of its own. Result: FailureSpreadTests.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
@@ -35,18 +35,6 @@
 	/** Minimum failure probability of a server in a suspicion report. */
 	private static final double MIN_REPORTED_PROBABILITY = 0.35;
 
-	/**
-	 * Share of a service's requests that must have failed recently for a part of its
-	 * requests to be spread evenly.
-	 */
-	private static final double SPREAD_FAILURE_SHARE = 0.07;
-
-	/** Number of recent failures below which their share says little. */
-	private static final int MIN_SPREAD_FAILURES = 4;
-
-	/** Requests per second that each server receives of the requests that are spread. */
-	private static final double SPREAD_REQUESTS_PER_SECOND = 1;
-
 	private static final double PERCENT = 100;
 
 	private final Map<ServiceName, ServiceState> services = new HashMap<>();
@@ -123,16 +111,8 @@
 	 */
 	public double spreadShare(long now, ServiceName name) {
 		ServiceState service = service(name);
-		int failures = service.recentFailures().count(now);
-		if (failures < MIN_SPREAD_FAILURES) {
-			return 0;
-		}
-		double perSecond = fleetRequestsPerSecond(now, name);
-		double recentRequests = perSecond * RecentFailures.WINDOW_MS / MS_PER_SECOND;
-		if (failures <= recentRequests * SPREAD_FAILURE_SHARE) {
-			return 0;
-		}
-		return Math.min(1, service.servers().size() * SPREAD_REQUESTS_PER_SECOND / perSecond);
+		return FailureSpread.share(service.recentFailures().count(now), fleetRequestsPerSecond(now, name),
+				service.servers().size());
 	}
 
 	private double fleetRequestsPerSecond(long now, ServiceName name) {
