Keep the table of daemons by probes and limit who hears of a failure

Retry shares were divided by a fleet that was too small, and a partition of over 12 s never healed. Besides, each observation went to all daemons of one or two regions. Change: heartbeats are acknowledged; a peer that answers neither a heartbeat nor two probes is suspected, can refute that with a higher incarnation, and is gone after 3 s more. News are passed on once by each daemon; a digest of the table in heartbeats finds what they missed. Observations go to the failure domains of reporter and server, and to others up to 40 receivers. A port out of range, which no datagram can be sent to, is refused by the codec. Ruled out: SWIM as in wigeonmast-membership, which carries slices and tenures that this fleet does not have; more members in each heartbeat, whose bytes grow with the fleet.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEffect.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEffect.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 import org.wigeonmast.balance.peer.ServerObservation;
-import org.wigeonmast.core.Region;
+import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.RequestOutcome;
 import org.wigeonmast.dispatch.ExchangeCommand;
 
@@ -26,9 +26,9 @@
 	 * Reports an observation of a backend server to peers.
 	 *
 	 * @param observation the observation
-	 * @param region the region in which the server runs
+	 * @param serverDomain the failure domain in which the server runs
 	 */
-	record ReportObservation(ServerObservation observation, Region region) implements BalanceEffect {
+	record ReportObservation(ServerObservation observation, FailureDomain serverDomain) implements BalanceEffect {
 	}
 
 	/**
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEvent.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/BalanceEvent.java
@@ -99,7 +99,7 @@
 	PEER_LIVE(1230, Level.INFO, "peer {} in {} is live, {} live daemons", "Nothing to do."),
 
 	/** A peer was removed because no message came from it or named it as live. */
-	PEER_LOST(1231, Level.WARN, "peer {} in {} was last seen {} ms ago and is removed, {} live daemons",
+	PEER_LOST(1231, Level.WARN, "peer {} in {} left or did not answer and is removed, {} live daemons",
 			"Check the host unless the daemon was stopped."),
 
 	/** A datagram could not be received or decoded. */
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/ServerRegistry.java
@@ -184,7 +184,7 @@
 		observe(now, server, kind);
 		if (server.tryBeginReport(now, kind)) {
 			this.effects.accept(new BalanceEffect.ReportObservation(new ServerObservation(server.record().id(), kind),
-					server.record().failureDomain().region()));
+					server.record().failureDomain()));
 		}
 		logSuspicionChange(now, server, kind, "observed");
 	}
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/Peer.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/Peer.java
@@ -10,7 +10,6 @@
  *
  * @param address the address at which it receives datagrams
  * @param failureDomain the failure domain in which it runs
- * @param leaving whether it is shutting down
  */
-public record Peer(HostAddress address, FailureDomain failureDomain, boolean leaving) {
+public record Peer(HostAddress address, FailureDomain failureDomain) {
 }
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerMessageCodec.java
@@ -44,6 +44,10 @@
 
 	private static final int LOAD = 9;
 
+	private static final int MESSAGE_KIND = 10;
+
+	private static final int MEMBERS_DIGEST = 11;
+
 	// Field numbers of a daemon.
 
 	private static final int ADDRESS = 1;
@@ -52,9 +56,9 @@
 
 	private static final int DOMAIN = 3;
 
-	private static final int LEAVING = 4;
+	private static final int STATE = 4;
 
-	private static final int AGE = 5;
+	private static final int INCARNATION = 5;
 
 	// Field numbers of observations and suspicions.
 
@@ -77,6 +81,11 @@
 
 	private static final int MAX_PERCENT = 100;
 
+	private static final int MAX_PORT = 65_535;
+
+	/** Maximum incarnation, so that a daemon can always state a higher one. */
+	private static final long MAX_INCARNATION = 1L << 48;
+
 	private static final char REGION_SEPARATOR = '/';
 
 	private static final int OCTETS_PER_ADDRESS = 4;
@@ -92,8 +101,8 @@
 	 */
 	public static byte[] encode(PeerMessage message) {
 		List<FailureDomain> domains = new ArrayList<>();
-		domains.add(message.sender().failureDomain());
-		for (PeerMessage.Member member : message.members()) {
+		domains.add(message.sender().peer().failureDomain());
+		for (Member member : message.members()) {
 			if (!domains.contains(member.peer().failureDomain())) {
 				domains.add(member.peer().failureDomain());
 			}
@@ -102,13 +111,17 @@
 			for (FailureDomain domain : domains) {
 				out.writeString(DOMAIN_NAME, domain.region().name() + REGION_SEPARATOR + domain.name());
 			}
-			out.writeByteArray(SENDER, encodePeer(message.sender(), 0, domains, 0));
+			out.writeEnum(MESSAGE_KIND, message.kind().ordinal());
+			out.writeByteArray(SENDER, encodeMember(message.sender(), domains, 0));
+			if (message.membersDigest() != 0) {
+				out.writeFixed32(MEMBERS_DIGEST, message.membersDigest());
+			}
 			out.writeSInt64(REVISION, message.revision());
 			out.writeUInt64(REVISION_AGE, message.revisionAge());
 			out.writeUInt64(STEADY_FOR, message.steadyFor());
-			int port = message.sender().address().port();
-			for (PeerMessage.Member member : message.members()) {
-				out.writeByteArray(MEMBER, encodePeer(member.peer(), member.age(), domains, port));
+			int port = message.sender().peer().address().port();
+			for (Member member : message.members()) {
+				out.writeByteArray(MEMBER, encodeMember(member, domains, port));
 			}
 			for (ServerObservation observation : message.observations()) {
 				out.writeByteArray(OBSERVATION, write((inner) -> {
@@ -141,34 +154,39 @@
 	public static PeerMessage decode(byte[] bytes) throws IOException {
 		CodedInputStream in = CodedInputStream.newInstance(bytes);
 		List<FailureDomain> domains = new ArrayList<>();
-		PeerMessage.Member sender = null;
+		Member sender = null;
+		int kind = PeerMessage.Kind.HEARTBEAT.ordinal();
+		int membersDigest = 0;
 		long revision = -1;
 		long revisionAge = 0;
 		long steadyFor = 0;
-		List<PeerMessage.Member> members = new ArrayList<>();
+		List<Member> members = new ArrayList<>();
 		List<ServerObservation> observations = new ArrayList<>();
 		List<SuspicionReport> suspicionReports = new ArrayList<>();
 		List<ServiceLoad> loads = new ArrayList<>();
 		for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
 			switch (WireFormat.getTagFieldNumber(tag)) {
 				case DOMAIN_NAME -> domains.add(parseDomain(in.readString()));
-				case SENDER -> sender = decodePeer(in.readByteArray(), domains, 0);
+				case MESSAGE_KIND -> kind = in.readEnum();
+				case MEMBERS_DIGEST -> membersDigest = in.readFixed32();
+				case SENDER -> sender = decodeMember(in.readByteArray(), domains, 0);
 				case REVISION -> revision = in.readSInt64();
 				case REVISION_AGE -> revisionAge = in.readUInt64();
 				case STEADY_FOR -> steadyFor = in.readUInt64();
-				case MEMBER -> members.add(
-						decodePeer(in.readByteArray(), domains, (sender != null) ? sender.peer().address().port() : 0));
+				case MEMBER -> members.add(decodeMember(in.readByteArray(), domains,
+						(sender != null) ? sender.peer().address().port() : 0));
 				case OBSERVATION -> observations.add(decodeObservation(in.readByteArray()));
 				case SUSPICION -> suspicionReports.add(decodeSuspicionReport(in.readByteArray()));
 				case LOAD -> loads.add(decodeLoad(in.readByteArray()));
 				default -> in.skipField(tag);
 			}
 		}
-		if (sender == null || revisionAge < 0 || steadyFor < 0) {
-			throw new IOException("message has no sender or a negative age");
+		if (sender == null || revisionAge < 0 || steadyFor < 0 || kind < 0
+				|| kind >= PeerMessage.Kind.values().length) {
+			throw new IOException("message has no sender, a negative age or an unknown kind");
 		}
-		return new PeerMessage(sender.peer(), revision, revisionAge, steadyFor, members, observations, suspicionReports,
-				loads);
+		return new PeerMessage(PeerMessage.Kind.values()[kind], sender, membersDigest, revision, revisionAge, steadyFor,
+				members, observations, suspicionReports, loads);
 	}
 
 	private static FailureDomain parseDomain(String text) throws IOException {
@@ -179,48 +197,52 @@
 		return new FailureDomain(new Region(text.substring(0, end)), text.substring(end + 1));
 	}
 
-	private static byte[] encodePeer(Peer peer, long age, List<FailureDomain> domains, int defaultPort) {
+	private static byte[] encodeMember(Member member, List<FailureDomain> domains, int defaultPort) {
 		return write((out) -> {
-			out.writeFixed32(ADDRESS, parseAddress(peer.address().address()));
-			if (peer.address().port() != defaultPort) {
-				out.writeUInt32(PORT, peer.address().port());
+			HostAddress address = member.peer().address();
+			out.writeFixed32(ADDRESS, parseAddress(address.address()));
+			if (address.port() != defaultPort) {
+				out.writeUInt32(PORT, address.port());
 			}
-			int domain = domains.indexOf(peer.failureDomain());
+			int domain = domains.indexOf(member.peer().failureDomain());
 			if (domain > 0) {
 				out.writeUInt32(DOMAIN, domain);
 			}
-			if (peer.leaving()) {
-				out.writeBool(LEAVING, true);
-			}
-			if (age > 0) {
-				out.writeUInt64(AGE, age);
+			if (member.state() != MemberState.ALIVE) {
+				out.writeEnum(STATE, member.state().ordinal());
 			}
+			out.writeUInt64(INCARNATION, member.incarnation());
 		});
 	}
 
-	private static PeerMessage.Member decodePeer(byte[] bytes, List<FailureDomain> domains, int defaultPort)
-			throws IOException {
+	private static Member decodeMember(byte[] bytes, List<FailureDomain> domains, int defaultPort) throws IOException {
 		CodedInputStream in = CodedInputStream.newInstance(bytes);
 		int address = 0;
 		int port = defaultPort;
 		int domain = 0;
-		boolean leaving = false;
-		long age = 0;
+		int state = MemberState.ALIVE.ordinal();
+		long incarnation = 0;
 		for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
 			switch (WireFormat.getTagFieldNumber(tag)) {
 				case ADDRESS -> address = in.readFixed32();
 				case PORT -> port = in.readUInt32();
 				case DOMAIN -> domain = in.readUInt32();
-				case LEAVING -> leaving = in.readBool();
-				case AGE -> age = in.readUInt64();
+				case STATE -> state = in.readEnum();
+				case INCARNATION -> incarnation = in.readUInt64();
 				default -> in.skipField(tag);
 			}
 		}
-		if (address == 0 || port <= 0 || age < 0 || domain < 0 || domain >= domains.size()) {
-			throw new IOException("daemon has no valid address, failure domain or age");
+		if (address == 0 || port <= 0 || port > MAX_PORT) {
+			throw new IOException("daemon has no valid address");
+		}
+		if (domain < 0 || domain >= domains.size()) {
+			throw new IOException("daemon has no valid failure domain");
+		}
+		if (state < 0 || state >= MemberState.values().length || incarnation < 0 || incarnation > MAX_INCARNATION) {
+			throw new IOException("daemon has no valid state or incarnation");
 		}
-		return new PeerMessage.Member(
-				new Peer(new HostAddress(formatAddress(address), port), domains.get(domain), leaving), age);
+		return new Member(new Peer(new HostAddress(formatAddress(address), port), domains.get(domain)), incarnation,
+				MemberState.values()[state]);
 	}
 
 	private static int parseAddress(String address) {
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerTableEffect.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerTableEffect.java
@@ -16,11 +16,10 @@
 	 * Sends a datagram, which may be lost.
 	 *
 	 * @param receiver the address of the receiver
-	 * @param message the message
-	 * @param heartbeat whether it is a heartbeat, to which the suspicions and the load of
-	 * this daemon are added
+	 * @param message the message; the suspicions and the load of this daemon are added to
+	 * heartbeats
 	 */
-	record Send(HostAddress receiver, PeerMessage message, boolean heartbeat) implements PeerTableEffect {
+	record Send(HostAddress receiver, PeerMessage message) implements PeerTableEffect {
 	}
 
 	/**
--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerTableInput.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/peer/PeerTableInput.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 
+import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.HostAddress;
-import org.wigeonmast.core.Region;
 
 /**
  * An input of the {@link PeerTable}.
@@ -37,9 +37,9 @@
 	 * An observation of this daemon is to be sent to the peers concerned.
 	 *
 	 * @param observation the observation
-	 * @param region the region in which the server runs
+	 * @param serverDomain the failure domain in which the server runs
 	 */
-	record SendObservation(ServerObservation observation, Region region) implements PeerTableInput {
+	record SendObservation(ServerObservation observation, FailureDomain serverDomain) implements PeerTableInput {
 	}
 
 	/**
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerMessageCodecTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerMessageCodecTests.java
@@ -14,8 +14,9 @@
 /** Tests of {@link PeerMessageCodec}. */
 class PeerMessageCodecTests {
 
-	private static final PeerMessage MESSAGE = new PeerMessage(peer(1), 530, 120, 4500,
-			List.of(new PeerMessage.Member(peer(2), 250), new PeerMessage.Member(peer(3), 0)),
+	private static final PeerMessage MESSAGE = new PeerMessage(PeerMessage.Kind.HEARTBEAT,
+			new Member(peer(1), 1_780_000_000, MemberState.ALIVE), -17, 530, 120, 4500,
+			List.of(new Member(peer(2), 7, MemberState.SUSPECT), new Member(peer(3), 0, MemberState.GONE)),
 			List.of(new ServerObservation(new BackendServerId("i-7f3a91c2"), ServerObservation.Kind.FAILED)),
 			List.of(new SuspicionReport(new BackendServerId("i-2"), 87, 1200)),
 			List.of(new ServiceLoad(BalanceFixtures.SERVICE, 2.75)));
@@ -51,6 +52,22 @@
 		}
 	}
 
+	/** Guards against a port that no datagram can be sent to. */
+	@Test
+	void portOutOfRangeIsRefused() {
+		Peer odd = new Peer(new HostAddress("127.0.0.1", 70_000), BalanceFixtures.HOME);
+		PeerMessage message = new PeerMessage(PeerMessage.Kind.NEWS, new Member(odd, 1, MemberState.ALIVE), 0, 0, 0, 0,
+				List.of(), List.of(), List.of(), List.of());
+		byte[] encoded = PeerMessageCodec.encode(message);
+		try {
+			PeerMessageCodec.decode(encoded);
+			Truth.assertWithMessage("a port out of range was decoded").fail();
+		}
+		catch (IOException exception) {
+			Truth.assertThat(exception).hasMessageThat().contains("address");
+		}
+	}
+
 	private static void decodeOrRefuse(byte[] bytes) {
 		try {
 			Truth.assertThat(PeerMessageCodec.decode(bytes)).isNotNull();
@@ -61,7 +78,7 @@
 	}
 
 	private static Peer peer(int number) {
-		return new Peer(new HostAddress("127.0.0." + number, 7200), BalanceFixtures.HOME, false);
+		return new Peer(new HostAddress("127.0.0." + number, 7200), BalanceFixtures.HOME);
 	}
 
 }
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerTableTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerTableTests.java
@@ -61,7 +61,7 @@
 		runFor(5000);
 		ServerObservation observation = new ServerObservation(new BackendServerId("s"), ServerObservation.Kind.FAILED);
 		deliver(this.fleet.get(address(2))
-			.handle(this.now, new PeerTableInput.SendObservation(observation, BalanceFixtures.HOME.region())));
+			.handle(this.now, new PeerTableInput.SendObservation(observation, BalanceFixtures.HOME)));
 		Truth.assertThat(this.observationReceivers).hasSize(5);
 	}
 
@@ -73,7 +73,7 @@
 
 	private void add(int number, List<HostAddress> seeds) {
 		PeerTable table = new PeerTable(address(number), (number % 2 == 0) ? BalanceFixtures.HOME : BalanceFixtures.FAR,
-				RandomGeneratorFactory.of("L64X128MixRandom").create(number));
+				this.now, RandomGeneratorFactory.of("L64X128MixRandom").create(number));
 		this.fleet.put(address(number), table);
 		this.sizes.put(address(number), 1);
 		carryOut(address(number), table.handle(this.now, new PeerTableInput.SeedsChanged(seeds)));
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -162,7 +162,8 @@
 		this.balanceDriver = new ComponentDriver<>(this.control, this.coordinator, this::applyEffect);
 		this.followerDriver = new ComponentDriver<>(this.control, this.follower, this::applyEffect);
 		this.peerTableDriver = new ComponentDriver<>(this.control,
-				new PeerTable(settings.peers(), settings.failureDomain(), random), this::applyEffect);
+				new PeerTable(settings.peers(), settings.failureDomain(), System.currentTimeMillis() / 1000, random),
+				this::applyEffect);
 		this.proxy = new ProxyServer(proxyConfiguration(LIMITS_BEFORE_CONFIGURATION), clock, this::route,
 				this::onRequestEvent, this.metrics);
 		this.datagrams = new PeerDatagrams(group, settings.peers(), (message) -> this.control
@@ -262,8 +263,8 @@
 	private void applyEffect(BalanceEffect effect) {
 		switch (effect) {
 			case BalanceEffect.Exchange exchange -> this.proxy.execute(exchange.command());
-			case BalanceEffect.ReportObservation report ->
-				this.peerTableDriver.handle(new PeerTableInput.SendObservation(report.observation(), report.region()));
+			case BalanceEffect.ReportObservation report -> this.peerTableDriver
+				.handle(new PeerTableInput.SendObservation(report.observation(), report.serverDomain()));
 			case BalanceEffect.RequestEnded ended -> recordOutcome(ended);
 			case BalanceEffect.Logged logged -> {
 				if (logged.request().isEmpty()) {
@@ -325,7 +326,7 @@
 			case PeerTableEffect.Send send -> {
 				PeerMessage message = send.message();
 				long now = this.control.clock().milliseconds();
-				this.datagrams.send(send.receiver(), send.heartbeat()
+				this.datagrams.send(send.receiver(), (message.kind() == PeerMessage.Kind.HEARTBEAT)
 						? message.withReports(this.coordinator.suspicionReports(now), this.coordinator.loads(now))
 						: message);
 			}
