Stay in the own failure domain if it has many servers, and play a large fleet

Cause: at large size each server's failure episode is met by the daemons of four failure domains, of which three are told late. Change: from eight servers of the service at home on, another domain costs 0.1. The simulation learned sizes, slots and queues of servers, timers of daemons and the real audience of observations and heartbeats; its arrivals no longer drift.

--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/CostBasedServerSelector.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/internal/CostBasedServerSelector.java
@@ -31,6 +31,15 @@
 	/** Cost of sending a short request to another failure domain of the region. */
 	private static final double OTHER_DOMAIN_COST = 0.05;
 
+	/** The same cost if the own failure domain has many servers of the service. */
+	private static final double OTHER_DOMAIN_COST_OF_MANY = 0.1;
+
+	/**
+	 * Number of servers in the own failure domain from which those of other domains are
+	 * not needed, so that fewer daemons meet each server's failures.
+	 */
+	private static final int MANY_SERVERS = 8;
+
 	/** The same cost for a long request. */
 	private static final double OTHER_DOMAIN_LONG_COST = 0.5;
 
@@ -125,6 +134,7 @@
 		}
 		Set<ServerState> spareServers = mostSuspected(now, usable, busySlots);
 		boolean retryable = idempotent && workClass == WorkClass.SHORT;
+		boolean manyAtHome = usable.stream().filter(this::isAtHome).limit(MANY_SERVERS).count() == MANY_SERVERS;
 		ServerState best = null;
 		double lowestCost = Double.POSITIVE_INFINITY;
 		for (ServerState server : usable) {
@@ -136,7 +146,8 @@
 				failureProbability = Math.min(failureProbability, MAX_PROBABILITY_OF_OTHERS);
 			}
 			double cost = failureProbability * (retryable ? REPEATABLE_FAILURE_COST : 1)
-					+ distanceCost(server, workClass) + stateCost(now, server) - TEMPERATURE * gumbelNoise();
+					+ distanceCost(server, workClass, manyAtHome) + stateCost(now, server)
+					- TEMPERATURE * gumbelNoise();
 			if (cost < lowestCost) {
 				lowestCost = cost;
 				best = server;
@@ -173,14 +184,18 @@
 		return usable.stream().sorted(bySuspicion).limit(spareCount).collect(Collectors.toSet());
 	}
 
-	private double distanceCost(ServerState server, WorkClass workClass) {
-		FailureDomain domain = server.record().failureDomain();
+	private boolean isAtHome(ServerState server) {
+		return server.record().failureDomain().equals(this.home);
+	}
+
+	private double distanceCost(ServerState server, WorkClass workClass, boolean manyAtHome) {
 		boolean longRequest = workClass == WorkClass.LONG;
-		if (domain.equals(this.home)) {
+		if (isAtHome(server)) {
 			return 0;
 		}
 		if (isInOwnRegion(server)) {
-			return longRequest ? OTHER_DOMAIN_LONG_COST : OTHER_DOMAIN_COST;
+			double shortCost = manyAtHome ? OTHER_DOMAIN_COST_OF_MANY : OTHER_DOMAIN_COST;
+			return longRequest ? OTHER_DOMAIN_LONG_COST : shortCost;
 		}
 		return longRequest ? OTHER_REGION_LONG_COST : OTHER_REGION_COST;
 	}
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/BalanceFixtures.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/BalanceFixtures.java
@@ -47,6 +47,18 @@
 				deadline, true, null, 0, "shown-" + id, PLAN);
 	}
 
+	/**
+	 * Returns a request that is not idempotent.
+	 * @param id the identifier
+	 * @param deadline the monotonic time in milliseconds of its deadline
+	 * @param targetLatency the target latency in milliseconds
+	 * @return the request
+	 */
+	static RequestDescription request(String id, long deadline, long targetLatency) {
+		return new RequestDescription(new RequestId(id), new CallerId("caller"), SERVICE, WorkClass.SHORT, false,
+				deadline, true, null, 0, "shown-" + id, new RoutePolicy("claim", deadline, targetLatency, 2, 1));
+	}
+
 	public static FleetConfiguration configuration(long version) {
 		return new FleetConfiguration(version, List.of(), List.of(new ServiceConfiguration(SERVICE, 330)),
 				new CallerLimits(16_384, 1 << 20, 3000, 15_000));
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/FailingFleetSimulation.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/FailingFleetSimulation.java
@@ -1,6 +1,7 @@
 package org.wigeonmast.balance;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,9 +11,8 @@
 import java.util.Set;
 import java.util.random.RandomGeneratorFactory;
 
-import org.wigeonmast.core.FailureDomain;
+import org.wigeonmast.core.Component;
 import org.wigeonmast.core.HostAddress;
-import org.wigeonmast.core.Region;
 import org.wigeonmast.core.RequestId;
 import org.wigeonmast.dispatch.AttemptReport;
 import org.wigeonmast.dispatch.ExchangeCommand;
@@ -31,22 +31,10 @@
 
 	private static final int WINDOW_STEP_MS = 100;
 
-	private static final int DAEMONS = 36;
-
-	private static final int SERVERS = 16;
-
 	private static final long LENGTH_MS = 60_000;
 
 	private static final long WARM_UP_MS = 4000;
 
-	private static final long DEADLINE_MS = 2000;
-
-	/** Average time between the failure episodes of a server. */
-	private static final double HEALTHY_MS = 13_000;
-
-	/** Average length of a failure episode. */
-	private static final double FAILING_MS = 5600;
-
 	private static final double ERROR_SHARE = 0.012;
 
 	private static final double EPISODE_ERROR_SHARE = 0.85;
@@ -56,8 +44,13 @@
 
 	private static final long HEARTBEAT_MS = 1000;
 
-	private static final List<FailureDomain> DOMAINS = List.of(BalanceFixtures.HOME, BalanceFixtures.NEAR,
-			BalanceFixtures.FAR, new FailureDomain(new Region("dire"), "sabian"));
+	/** Number of peers that receive a heartbeat of a daemon at a time. */
+	private static final int HEARTBEATS = 2;
+
+	/** Time after which a server answers a request that fails. */
+	private static final long FAILURE_MS = 20;
+
+	private final FleetShape shape;
 
 	private final Random random;
 
@@ -65,7 +58,9 @@
 
 	private final List<BalanceCoordinator> daemons = new ArrayList<>();
 
-	private final boolean[][] failing = new boolean[SERVERS][(int) LENGTH_MS];
+	private final boolean[][] failing;
+
+	private final SimulatedServer[] servers;
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> (one.at != other.at)
 			? Long.compare(one.at, other.at) : Long.compare(one.number, other.number));
@@ -80,25 +75,39 @@
 
 	private long eventNumber;
 
-	FailingFleetSimulation(long seed, double requestsPerSecond) {
+	private final long[] ticks;
+
+	private double nextArrival;
+
+	private long deliveredObservations;
+
+	FailingFleetSimulation(long seed, FleetShape shape, double requestsPerSecond) {
 		this.random = new Random(seed);
+		this.shape = shape;
 		this.requestsPerMs = requestsPerSecond / 1000;
-		for (int i = 0; i < DAEMONS; i++) {
-			this.daemons.add(new BalanceCoordinator(DOMAINS.get(i % DOMAINS.size()), BalanceSettings.DEFAULTS,
-					RandomGeneratorFactory.of("L64X128MixRandom").create(seed * DAEMONS + i)));
+		this.failing = new boolean[shape.servers()][(int) LENGTH_MS];
+		this.servers = new SimulatedServer[shape.servers()];
+		this.ticks = new long[shape.daemons()];
+		Arrays.fill(this.ticks, Component.NO_TIMER);
+		for (int i = 0; i < shape.daemons(); i++) {
+			this.daemons.add(new BalanceCoordinator(shape.domain(i), BalanceSettings.DEFAULTS,
+					RandomGeneratorFactory.of("L64X128MixRandom").create(seed * shape.daemons() + i)));
 		}
-		for (int i = 0; i < SERVERS; i++) {
+		for (int i = 0; i < shape.servers(); i++) {
 			drawEpisodes(this.failing[i]);
+			this.servers[i] = new SimulatedServer(shape.slots(), shape.queue());
 		}
 	}
 
 	private void drawEpisodes(boolean[] states) {
-		boolean state = this.random.nextDouble() < FAILING_MS / (FAILING_MS + HEALTHY_MS);
+		boolean state = this.random.nextDouble() < this.shape.failingMs()
+				/ (this.shape.failingMs() + this.shape.healthyMs());
 		double until = 0;
 		for (int ms = 0; ms < states.length; ms++) {
 			if (ms >= until) {
 				state = (ms == 0) ? state : !state;
-				until = ms - (state ? FAILING_MS : HEALTHY_MS) * Math.log(1 - this.random.nextDouble());
+				until = ms - (state ? this.shape.failingMs() : this.shape.healthyMs())
+						* Math.log(1 - this.random.nextDouble());
 			}
 			states[ms] = state;
 		}
@@ -106,13 +115,13 @@
 
 	/** Runs the whole simulation. */
 	void run() {
-		for (int i = 0; i < DAEMONS; i++) {
+		for (int i = 0; i < this.shape.daemons(); i++) {
 			int daemon = i;
 			handle(daemon, new BalanceInput.ConfigurationPublished(BalanceFixtures.configuration(1)));
-			handle(daemon, new BalanceInput.FleetSizeChanged(DAEMONS));
-			for (int server = 0; server < SERVERS; server++) {
+			handle(daemon, new BalanceInput.FleetSizeChanged(this.shape.daemons()));
+			for (int server = 0; server < this.shape.servers(); server++) {
 				handle(daemon, new BalanceInput.ServerChanged(
-						BalanceFixtures.server("s" + server, DOMAINS.get(server % DOMAINS.size()))));
+						BalanceFixtures.server("s" + server, this.shape.domain(server))));
 			}
 			schedule(this.random.nextInt((int) HEARTBEAT_MS), () -> heartbeat(daemon));
 		}
@@ -125,42 +134,70 @@
 	}
 
 	private void arrive() {
-		Request request = new Request(new RequestId("r" + this.accepted.size()), this.random.nextInt(DAEMONS),
-				this.now);
+		Request request = new Request(new RequestId("r" + this.accepted.size()),
+				this.random.nextInt(this.shape.daemons()), this.now);
 		this.requests.put(request.id, request);
 		this.accepted.add(request);
-		handle(request.daemon, new BalanceInput.RequestEventReceived(
-				new RequestEvent.Accepted(BalanceFixtures.request(request.id.value(), false, this.now + DEADLINE_MS))));
-		schedule((long) (-Math.log(1 - this.random.nextDouble()) / this.requestsPerMs), this::arrive);
+		handle(request.daemon, new BalanceInput.RequestEventReceived(new RequestEvent.Accepted(BalanceFixtures
+			.request(request.id.value(), this.now + this.shape.deadlineMs(), this.shape.targetMs()))));
+		scheduleArrival();
+	}
+
+	private void scheduleArrival() {
+		this.nextArrival += -Math.log(1 - this.random.nextDouble()) / this.requestsPerMs;
+		schedule(Math.max(0, (long) this.nextArrival - this.now), this::arrive);
 	}
 
 	private void heartbeat(int daemon) {
-		BalanceInput loads = new BalanceInput.LoadReceived(new HostAddress("127.0.0.1", 1000 + daemon),
-				this.daemons.get(daemon).loads(this.now));
-		tellPeers(daemon, loads);
+		List<BalanceInput> inputs = new ArrayList<>();
+		inputs.add(new BalanceInput.LoadReceived(new HostAddress("127.0.0.1", 1000 + daemon),
+				this.daemons.get(daemon).loads(this.now)));
 		this.daemons.get(daemon)
 			.suspicionReports(this.now)
-			.forEach((report) -> tellPeers(daemon, new BalanceInput.SuspicionReceived(report)));
+			.forEach((report) -> inputs.add(new BalanceInput.SuspicionReceived(report)));
+		for (int i = 0; i < HEARTBEATS; i++) {
+			int peer = this.random.nextInt(this.shape.daemons());
+			schedule(MESSAGE_MS, () -> inputs.forEach((input) -> handle(peer, input)));
+		}
 		schedule(HEARTBEAT_MS, () -> heartbeat(daemon));
 	}
 
-	private void tellPeers(int daemon, BalanceInput input) {
+	private void tellPeers(int daemon, BalanceEffect.ReportObservation report) {
+		BalanceInput input = new BalanceInput.ObservationReceived(report.observation());
+		List<HostAddress> receivers = this.shape.audience(daemon, report.serverDomain());
 		schedule(MESSAGE_MS, () -> {
-			for (int peer = 0; peer < DAEMONS; peer++) {
-				if (peer != daemon) {
-					handle(peer, input);
-				}
-			}
+			this.deliveredObservations += receivers.size();
+			receivers.forEach((receiver) -> handle(receiver.port(), input));
 		});
 	}
 
 	private void handle(int daemon, BalanceInput input) {
-		for (BalanceEffect effect : this.daemons.get(daemon).handle(this.now, input)) {
+		carryOut(daemon, this.daemons.get(daemon).handle(this.now, input));
+	}
+
+	private void tick(int daemon, long due) {
+		if (this.ticks[daemon] == due) {
+			this.ticks[daemon] = Component.NO_TIMER;
+			carryOut(daemon, this.daemons.get(daemon).tick(this.now));
+		}
+	}
+
+	private void scheduleTick(int daemon) {
+		long next = this.daemons.get(daemon).nextTick();
+		if (next < this.ticks[daemon]) {
+			this.ticks[daemon] = next;
+			schedule(Math.max(0, next - this.now), () -> tick(daemon, next));
+		}
+	}
+
+	private void carryOut(int daemon, List<BalanceEffect> effects) {
+		scheduleTick(daemon);
+		for (BalanceEffect effect : effects) {
 			if (effect instanceof BalanceEffect.Exchange exchange) {
 				execute(daemon, exchange.command());
 			}
 			else if (effect instanceof BalanceEffect.ReportObservation report) {
-				tellPeers(daemon, new BalanceInput.ObservationReceived(report.observation()));
+				tellPeers(daemon, report);
 			}
 		}
 	}
@@ -171,11 +208,25 @@
 			boolean inEpisode = this.failing[server][(int) this.now];
 			boolean fails = this.random.nextDouble() < (inEpisode ? EPISODE_ERROR_SHARE : ERROR_SHARE);
 			this.sends.add(new Send(this.now, server));
-			schedule(fails ? 20 : 100 + this.random.nextInt(200), () -> report(daemon, start.request(), start.attempt(),
-					new AttemptReport.ResponseStarted(fails ? 500 : 200, false, false), fails));
+			long work = fails ? FAILURE_MS : this.shape.work().draw(this.random);
+			Runnable answer = () -> report(daemon, start.request(), start.attempt(),
+					new AttemptReport.ResponseStarted(fails ? 500 : 200, false, false), fails);
+			if (!this.servers[server].accept(() -> schedule(work, () -> {
+				answer.run();
+				this.servers[server].finish();
+			}))) {
+				report(daemon, start.request(), start.attempt(), new AttemptReport.ResponseStarted(503, true, false),
+						true);
+			}
+		}
+		else if (command instanceof ExchangeCommand.Refuse refuse) {
+			Request request = this.requests.get(refuse.request());
+			request.failed = true;
+			request.endedAt = this.now;
 		}
 		else if (command instanceof ExchangeCommand.Relay relay) {
 			Request request = this.requests.get(relay.request());
+			request.endedAt = this.now;
 			report(daemon, relay.request(), relay.attempt(), new AttemptReport.Completed(request.failed ? 500 : 200),
 					request.failed);
 		}
@@ -219,7 +270,7 @@
 		this.sends.stream().filter((send) -> send.at >= from && send.at < to).forEach((send) -> used.add(send.server));
 		int sound = 0;
 		int soundAndUsed = 0;
-		for (int server = 0; server < SERVERS; server++) {
+		for (int server = 0; server < this.shape.servers(); server++) {
 			if (isSound(server, from - WINDOW_MS, to)) {
 				sound++;
 				soundAndUsed += used.contains(server) ? 1 : 0;
@@ -228,6 +279,35 @@
 		return (double) soundAndUsed / Math.max(1, sound);
 	}
 
+	/**
+	 * Returns the share of all requests that were not served.
+	 * @return the share, from 0 to 1
+	 */
+	double failedShare() {
+		return this.accepted.stream().filter((request) -> request.failed).count() / (double) this.accepted.size();
+	}
+
+	/**
+	 * Returns the share of the served requests that took longer than a time.
+	 * @param limit the time in milliseconds
+	 * @return the share, from 0 to 1
+	 */
+	double shareServedAfter(long limit) {
+		List<Request> served = this.accepted.stream()
+			.filter((request) -> !request.failed && request.endedAt > 0)
+			.toList();
+		return served.stream().filter((request) -> request.endedAt - request.at > limit).count()
+				/ (double) served.size();
+	}
+
+	/**
+	 * Returns the number of observations that were delivered to a peer.
+	 * @return the number
+	 */
+	long deliveredObservations() {
+		return this.deliveredObservations;
+	}
+
 	private boolean isSound(int server, long from, long to) {
 		for (long ms = from; ms < to; ms++) {
 			if (this.failing[server][(int) ms]) {
@@ -248,6 +328,8 @@
 
 		private boolean failed;
 
+		private long endedAt;
+
 		private Request(RequestId id, int daemon, long at) {
 			this.id = id;
 			this.daemon = daemon;
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/ServersInUseTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/ServersInUseTests.java
@@ -10,7 +10,7 @@
 /** Tests of how many servers a fleet uses while some of them fail. */
 class ServersInUseTests {
 
-	private static final int SEEDS = 20;
+	private static final int SEEDS = 100;
 
 	private static final double REQUESTS_PER_SECOND = 54;
 
@@ -22,7 +22,7 @@
 	void soundServersStayInUseWhileRequestsFail() {
 		List<Double> shares = new ArrayList<>();
 		for (int seed = 0; seed < SEEDS; seed++) {
-			FailingFleetSimulation fleet = new FailingFleetSimulation(seed, REQUESTS_PER_SECOND);
+			FailingFleetSimulation fleet = new FailingFleetSimulation(seed, FleetShape.SMALL, REQUESTS_PER_SECOND);
 			fleet.run();
 			shares.addAll(fleet.sharesInUseWhileRequestsFail());
 		}
