--- a/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
+++ b/wigeonmast-balance/src/main/java/org/wigeonmast/balance/follow/StateFollower.java
@@ -32,10 +32,15 @@
 	public static final long LAPSE_GRACE_MS = 2000;
 
 	/**
-	 * Pause in milliseconds before the next watch, so that one call returns several
-	 * changes.
+	 * Minimum pause in milliseconds before the next watch, so that one call returns
+	 * several changes.
 	 */
-	private static final long WATCH_PAUSE_MS = 1300;
+	private static final long MIN_WATCH_PAUSE_MS = 1300;
+
+	/**
+	 * Fraction of the time in which changes must take effect that this pause may take.
+	 */
+	private static final double WATCH_PAUSE_FRACTION = 0.5;
 
 	/**
 	 * Pause in milliseconds after the first failed call; it doubles with each failure.
@@ -77,6 +82,8 @@
 
 	private final RandomGenerator random;
 
+	private final long watchPause;
+
 	private long version = -1;
 
 	private long revision = -1;
@@ -111,9 +118,12 @@
 
 	/**
 	 * Creates a follower.
+	 * @param maxChangeDelay the time in milliseconds within which a change must take
+	 * effect
 	 * @param random the source of random numbers for pauses
 	 */
-	public StateFollower(RandomGenerator random) {
+	public StateFollower(long maxChangeDelay, RandomGenerator random) {
+		this.watchPause = Math.max(MIN_WATCH_PAUSE_MS, (long) (maxChangeDelay * WATCH_PAUSE_FRACTION));
 		this.random = random;
 	}
 
@@ -261,7 +271,7 @@
 		}
 		this.revision = Math.max(this.revision, changes.revision());
 		// Changes come in bursts; after a pause, one call returns the rest of them.
-		this.retryAt = now + WATCH_PAUSE_MS;
+		this.retryAt = now + this.watchPause;
 	}
 
 	private void putServer(ServerRecord server) {
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/follow/StateFollowerTests.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/follow/StateFollowerTests.java
@@ -13,10 +13,28 @@
 /** Tests of {@link StateFollower}. */
 class StateFollowerTests {
 
-	private final StateFollower follower = new StateFollower(RandomGeneratorFactory.of("L64X128MixRandom").create(5));
+	private static final long MAX_CHANGE_DELAY_MS = 2500;
+
+	private final StateFollower follower = new StateFollower(MAX_CHANGE_DELAY_MS,
+			RandomGeneratorFactory.of("L64X128MixRandom").create(5));
 
 	private long now;
 
+	/** Guards against pauses that leave too little of the time for a change. */
+	@Test
+	void pauseBetweenWatchesTakesHalfTheTimeForAChange() {
+		Truth.assertThat(pauseAfterChange(2500)).isEqualTo(1300);
+		Truth.assertThat(pauseAfterChange(4000)).isEqualTo(2000);
+	}
+
+	private static long pauseAfterChange(long maxChangeDelay) {
+		StateFollower follower = new StateFollower(maxChangeDelay,
+				RandomGeneratorFactory.of("L64X128MixRandom").create(5));
+		follower.handle(0, new StateFollowerInput.Started());
+		follower.handle(0, new StateFollowerInput.ChangesReceived(List.of(), 7));
+		return follower.nextTick();
+	}
+
 	/** Guards against readiness before the whole state is known. */
 	@Test
 	void isCompleteWithServersAndConfigurationOnly() {
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -157,7 +157,7 @@
 		this.state = state;
 		this.control = new ControlThread(clock);
 		RandomGenerator random = RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(new SecureRandom().nextLong());
-		this.follower = new StateFollower(random);
+		this.follower = new StateFollower(settings.maxChangeDelayMs(), random);
 		this.coordinator = new BalanceCoordinator(settings.failureDomain(), settings.balance(), random);
 		this.balanceDriver = new ComponentDriver<>(this.control, this.coordinator, this::applyEffect);
 		this.followerDriver = new ComponentDriver<>(this.control, this.follower, this::applyEffect);
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedSettings.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedSettings.java
@@ -24,10 +24,12 @@
  * @param balance the settings of load balancing
  * @param stopTimeoutMs the maximum time in milliseconds from the stop signal to the end
  * of the process
+ * @param maxChangeDelayMs the time in milliseconds within which a change of the published
+ * state must take effect
  */
 public record BalancedSettings(String name, FailureDomain failureDomain, HostAddress callers, HostAddress readiness,
 		String readinessPath, HostAddress metrics, HostAddress peers, List<HostAddress> seeds,
-		HeaderConventions headers, BalanceSettings balance, long stopTimeoutMs) {
+		HeaderConventions headers, BalanceSettings balance, long stopTimeoutMs, long maxChangeDelayMs) {
 
 	public BalancedSettings {
 		seeds = List.copyOf(seeds);
