--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ControlThread.java
@@ -77,8 +77,8 @@
 		try {
 			task.run();
 		}
-		catch (RuntimeException exception) {
-			this.log.log(DaemonEvent.CONTROL_TASK_FAILED, exception);
+		catch (RuntimeException | Error failure) {
+			this.log.log(DaemonEvent.CONTROL_TASK_FAILED, failure);
 		}
 	}
 
