Use the event queue and the clock that exist

Both simulations had their own queue of events; wigeonmast-testing has one. The incarnation of a daemon comes from the project's clock.

--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/FailingFleetSimulation.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/FailingFleetSimulation.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.random.RandomGeneratorFactory;
@@ -17,6 +16,7 @@
 import org.wigeonmast.dispatch.AttemptReport;
 import org.wigeonmast.dispatch.ExchangeCommand;
 import org.wigeonmast.dispatch.RequestEvent;
+import org.wigeonmast.testing.EventQueue;
 
 /**
  * A simulated fleet of daemons before the servers of one service, which fail in episodes.
@@ -62,8 +62,7 @@
 
 	private final SimulatedServer[] servers;
 
-	private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> (one.at != other.at)
-			? Long.compare(one.at, other.at) : Long.compare(one.number, other.number));
+	private final EventQueue events = new EventQueue();
 
 	private final Map<RequestId, Request> requests = new HashMap<>();
 
@@ -71,10 +70,6 @@
 
 	private final List<Send> sends = new ArrayList<>();
 
-	private long now;
-
-	private long eventNumber;
-
 	private final long[] ticks;
 
 	private double nextArrival;
@@ -126,34 +121,30 @@
 			schedule(this.random.nextInt((int) HEARTBEAT_MS), () -> heartbeat(daemon));
 		}
 		schedule(0, this::arrive);
-		while (!this.events.isEmpty() && this.events.peek().at < LENGTH_MS) {
-			Event event = this.events.remove();
-			this.now = event.at;
-			event.action.run();
-		}
+		this.events.runUntil(LENGTH_MS * EventQueue.MICROSECONDS_PER_MILLISECOND - 1);
 	}
 
 	private void arrive() {
 		Request request = new Request(new RequestId("r" + this.accepted.size()),
-				this.random.nextInt(this.shape.daemons()), this.now);
+				this.random.nextInt(this.shape.daemons()), now());
 		this.requests.put(request.id, request);
 		this.accepted.add(request);
-		handle(request.daemon, new BalanceInput.RequestEventReceived(new RequestEvent.Accepted(BalanceFixtures
-			.request(request.id.value(), this.now + this.shape.deadlineMs(), this.shape.targetMs()))));
+		handle(request.daemon, new BalanceInput.RequestEventReceived(new RequestEvent.Accepted(
+				BalanceFixtures.request(request.id.value(), now() + this.shape.deadlineMs(), this.shape.targetMs()))));
 		scheduleArrival();
 	}
 
 	private void scheduleArrival() {
 		this.nextArrival += -Math.log(1 - this.random.nextDouble()) / this.requestsPerMs;
-		schedule(Math.max(0, (long) this.nextArrival - this.now), this::arrive);
+		schedule(Math.max(0, (long) this.nextArrival - now()), this::arrive);
 	}
 
 	private void heartbeat(int daemon) {
 		List<BalanceInput> inputs = new ArrayList<>();
 		inputs.add(new BalanceInput.LoadReceived(new HostAddress("127.0.0.1", 1000 + daemon),
-				this.daemons.get(daemon).loads(this.now)));
+				this.daemons.get(daemon).loads(now())));
 		this.daemons.get(daemon)
-			.suspicionReports(this.now)
+			.suspicionReports(now())
 			.forEach((report) -> inputs.add(new BalanceInput.SuspicionReceived(report)));
 		for (int i = 0; i < HEARTBEATS; i++) {
 			int peer = this.random.nextInt(this.shape.daemons());
@@ -172,13 +163,13 @@
 	}
 
 	private void handle(int daemon, BalanceInput input) {
-		carryOut(daemon, this.daemons.get(daemon).handle(this.now, input));
+		carryOut(daemon, this.daemons.get(daemon).handle(now(), input));
 	}
 
 	private void tick(int daemon, long due) {
 		if (this.ticks[daemon] == due) {
 			this.ticks[daemon] = Component.NO_TIMER;
-			carryOut(daemon, this.daemons.get(daemon).tick(this.now));
+			carryOut(daemon, this.daemons.get(daemon).tick(now()));
 		}
 	}
 
@@ -186,7 +177,7 @@
 		long next = this.daemons.get(daemon).nextTick();
 		if (next < this.ticks[daemon]) {
 			this.ticks[daemon] = next;
-			schedule(Math.max(0, next - this.now), () -> tick(daemon, next));
+			schedule(Math.max(0, next - now()), () -> tick(daemon, next));
 		}
 	}
 
@@ -205,9 +196,9 @@
 	private void execute(int daemon, ExchangeCommand command) {
 		if (command instanceof ExchangeCommand.StartAttempt start) {
 			int server = Integer.parseInt(start.server().id().value().substring(1));
-			boolean inEpisode = this.failing[server][(int) this.now];
+			boolean inEpisode = this.failing[server][(int) now()];
 			boolean fails = this.random.nextDouble() < (inEpisode ? EPISODE_ERROR_SHARE : ERROR_SHARE);
-			this.sends.add(new Send(this.now, server));
+			this.sends.add(new Send(now(), server));
 			long work = fails ? FAILURE_MS : this.shape.work().draw(this.random);
 			Runnable answer = () -> report(daemon, start.request(), start.attempt(),
 					new AttemptReport.ResponseStarted(fails ? 500 : 200, false, false), fails);
@@ -222,11 +213,11 @@
 		else if (command instanceof ExchangeCommand.Refuse refuse) {
 			Request request = this.requests.get(refuse.request());
 			request.failed = true;
-			request.endedAt = this.now;
+			request.endedAt = now();
 		}
 		else if (command instanceof ExchangeCommand.Relay relay) {
 			Request request = this.requests.get(relay.request());
-			request.endedAt = this.now;
+			request.endedAt = now();
 			report(daemon, relay.request(), relay.attempt(), new AttemptReport.Completed(request.failed ? 500 : 200),
 					request.failed);
 		}
@@ -238,8 +229,12 @@
 				new BalanceInput.RequestEventReceived(new RequestEvent.AttemptProgress(id, attempt, report))));
 	}
 
+	private long now() {
+		return this.events.milliseconds();
+	}
+
 	private void schedule(long delay, Runnable action) {
-		this.events.add(new Event(this.now + delay, this.eventNumber++, action));
+		this.events.schedule(delay * EventQueue.MICROSECONDS_PER_MILLISECOND, action);
 	}
 
 	/**
@@ -347,14 +342,4 @@
 	private record Send(long at, int server) {
 	}
 
-	/**
-	 * A scheduled action.
-	 *
-	 * @param at when it is due
-	 * @param number the order of events that are due at the same time
-	 * @param action the action
-	 */
-	private record Event(long at, long number, Runnable action) {
-	}
-
 }
--- a/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerFleetSimulation.java
+++ b/wigeonmast-balance/src/test/java/org/wigeonmast/balance/peer/PeerFleetSimulation.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.random.RandomGeneratorFactory;
@@ -13,6 +12,7 @@
 import org.wigeonmast.core.FailureDomain;
 import org.wigeonmast.core.HostAddress;
 import org.wigeonmast.core.Region;
+import org.wigeonmast.testing.EventQueue;
 
 /**
  * A simulated fleet of {@link PeerTable}s in virtual time, whose datagrams are delayed
@@ -51,15 +51,10 @@
 
 	private final Map<HostAddress, List<Runnable>> heldBack = new HashMap<>();
 
-	private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> (one.at != other.at)
-			? Long.compare(one.at, other.at) : Long.compare(one.number, other.number));
+	private final EventQueue events = new EventQueue();
 
 	private boolean partitioned;
 
-	private long now;
-
-	private long eventNumber;
-
 	private long datagrams;
 
 	private long bytes;
@@ -85,7 +80,7 @@
 
 	void start(int number) {
 		HostAddress address = address(number);
-		PeerTable table = new PeerTable(address, domain(number), this.now / 1000,
+		PeerTable table = new PeerTable(address, domain(number), now() / 1000,
 				RandomGeneratorFactory.of("L64X128MixRandom").create(this.random.nextLong()));
 		this.tables.put(address, table);
 		this.sizes.put(address, 1);
@@ -93,7 +88,7 @@
 		for (int i = 0; i < SEEDS; i++) {
 			seeds.add(address(i));
 		}
-		carryOut(address, table.handle(this.now, new PeerTableInput.SeedsChanged(seeds)));
+		carryOut(address, table.handle(now(), new PeerTableInput.SeedsChanged(seeds)));
 	}
 
 	void kill(int number) {
@@ -103,7 +98,7 @@
 
 	void leave(int number) {
 		HostAddress address = address(number);
-		carryOut(address, this.tables.get(address).handle(this.now, new PeerTableInput.Leave()));
+		carryOut(address, this.tables.get(address).handle(now(), new PeerTableInput.Leave()));
 	}
 
 	/** Pauses a daemon; its datagrams wait, and its timers run late. */
@@ -126,13 +121,7 @@
 	}
 
 	void runFor(long duration) {
-		long end = this.now + duration;
-		while (!this.events.isEmpty() && this.events.peek().at <= end) {
-			Event event = this.events.remove();
-			this.now = event.at;
-			event.action.run();
-		}
-		this.now = end;
+		this.events.runUntil((now() + duration) * EventQueue.MICROSECONDS_PER_MILLISECOND);
 	}
 
 	private void carryOut(HostAddress daemon, List<PeerTableEffect> effects) {
@@ -157,7 +146,7 @@
 	private void scheduleTick(HostAddress daemon, long next) {
 		if (next < this.ticks.getOrDefault(daemon, Long.MAX_VALUE)) {
 			this.ticks.put(daemon, next);
-			schedule(Math.max(0, next - this.now), () -> tick(daemon, next));
+			schedule(Math.max(0, next - now()), () -> tick(daemon, next));
 		}
 	}
 
@@ -168,7 +157,7 @@
 			return;
 		}
 		this.ticks.remove(daemon);
-		carryOut(daemon, table.tick(this.now));
+		carryOut(daemon, table.tick(now()));
 	}
 
 	private void transmit(HostAddress sender, PeerTableEffect.Send send) {
@@ -188,12 +177,16 @@
 		}
 		PeerTable receiver = this.tables.get(send.receiver());
 		if (receiver != null) {
-			carryOut(send.receiver(), receiver.handle(this.now, new PeerTableInput.MessageReceived(send.message())));
+			carryOut(send.receiver(), receiver.handle(now(), new PeerTableInput.MessageReceived(send.message())));
 		}
 	}
 
+	private long now() {
+		return this.events.milliseconds();
+	}
+
 	private void schedule(long delay, Runnable action) {
-		this.events.add(new Event(this.now + delay, this.eventNumber++, action));
+		this.events.schedule(delay * EventQueue.MICROSECONDS_PER_MILLISECOND, action);
 	}
 
 	int smallestTable() {
@@ -234,14 +227,4 @@
 				"domain-" + region + '-' + number / this.regions % DOMAINS_PER_REGION);
 	}
 
-	/**
-	 * A scheduled action.
-	 *
-	 * @param at the virtual time in milliseconds at which it is due
-	 * @param number the order of events that are due at the same time
-	 * @param action the action
-	 */
-	private record Event(long at, long number, Runnable action) {
-	}
-
 }
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -162,7 +162,7 @@
 		this.balanceDriver = new ComponentDriver<>(this.control, this.coordinator, this::applyEffect);
 		this.followerDriver = new ComponentDriver<>(this.control, this.follower, this::applyEffect);
 		this.peerTableDriver = new ComponentDriver<>(this.control,
-				new PeerTable(settings.peers(), settings.failureDomain(), System.currentTimeMillis() / 1000, random),
+				new PeerTable(settings.peers(), settings.failureDomain(), clock.timeOfDay().getEpochSecond(), random),
 				this::applyEffect);
 		this.proxy = new ProxyServer(proxyConfiguration(LIMITS_BEFORE_CONFIGURATION), clock, this::route,
 				this::onRequestEvent, this.metrics);
