--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+root=$(cd "$here/../.." && pwd) || exit 2
+folder=$(mktemp -d) || exit 2
+java -cp "$root/target/review-stand-ins" RollingStopCase "$root" "$folder" "$here/record.txt"
+status=$?
+rm -rf "$folder"
+exit $status
