--- a/review/2/RollingStopCase.java
+++ b/review/2/RollingStopCase.java
@@ -57,7 +57,7 @@
 		finally {
 			daemons.forEach(DaemonProcess::kill);
 		}
-		System.exit(status);
+		System.exit((status == 1) ? DaemonProcess.EXIT_BROKEN : status);
 	}
 
 	private static int play(Path root, Path folder, boolean trouble, List<DaemonProcess> daemons, Record record)
--- a/review/stand-ins/DaemonProcess.java
+++ b/review/stand-ins/DaemonProcess.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -21,6 +22,16 @@
 	/** Port of the metrics in the deploy file. */
 	private static final int METRICS_PORT = 9464;
 
+	/** Exit status of a case in which the rule was broken. */
+	static final int EXIT_BROKEN = 10;
+
+	private static final List<DaemonProcess> STARTED = new CopyOnWriteArrayList<>();
+
+	static {
+		// Ends the daemons also when the case itself is ended by a signal.
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(DaemonProcess::kill)));
+	}
+
 	final String name;
 
 	final String ip;
@@ -136,6 +147,7 @@
 		environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
 		environment.put("WIGEONMAST_NODE_FILE", file.toString());
 		this.process = builder.start();
+		STARTED.add(this);
 	}
 
 	/** Asks for readiness as the platform does. */
