Refuse requests that a planned stop would cut off

Cause: a stopping daemon ends 0.8 s before the platform's limit whatever is in flight, and passed on every request until 0.2 s before that. A request may last until its deadline, which lay behind that end.

Change: DrainSchedule admits a request only if its deadline passes before the end of the stop; others are refused at once as not run. Idempotent requests are admitted in the first half of the stop whatever their deadline. The margin before the platform's limit is at most an eighth of it. Event 1013 counts the requests that a stop cuts off, which event 1004 denied.

--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/DaemonEvent.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/DaemonEvent.java
@@ -52,7 +52,11 @@
 
 	/** The settings could not be read again. */
 	RELOAD_FAILED(1012, Level.ERROR, "settings could not be read again: {}; the previous settings stay in force",
-			"Correct the settings file.");
+			"Correct the settings file."),
+
+	/** A planned stop reached its limit. */
+	STOP_TIMED_OUT(1013, Level.WARN, "daemon stopped at its stop timeout; {} requests were cut off",
+			"Give the daemon a stop timeout above the longest timeout of a route.");
 
 	private final int number;
 
--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -86,9 +86,13 @@
 	private static final long DRAIN_IDLE_TIMEOUT_MS = 2500;
 
 	/**
-	 * Time between the forced end of the last requests and the configured stop timeout.
+	 * Maximum time between the forced end of the last requests and the configured stop
+	 * timeout.
 	 */
-	private static final long STOP_MARGIN_MS = 800;
+	private static final long MAX_STOP_MARGIN_MS = 800;
+
+	/** Share of the stop timeout that this margin never exceeds. */
+	private static final double MAX_STOP_MARGIN_SHARE = 0.125;
 
 	/**
 	 * Time after the start for which connections of callers are held unread until the
@@ -208,16 +212,18 @@
 	}
 
 	/**
-	 * Stops gracefully: readiness fails at once, requests that still arrive are served,
-	 * and the daemon stops once all are answered.
+	 * Stops gracefully: readiness fails at once, requests that still arrive are served if
+	 * they end before the stop timeout and refused as not run otherwise, and the daemon
+	 * stops once all are answered.
 	 * @return a future that completes when the daemon has stopped
 	 */
 	public CompletableFuture<Void> stop() {
 		if (this.stopping.compareAndSet(false, true)) {
-			this.log.log(DaemonEvent.STOPPING, 0);
+			this.log.log(DaemonEvent.STOPPING, this.proxy.requestsInFlight());
 			this.control.execute(() -> this.peerTableDriver.handle(new PeerTableInput.Leave()));
-			CompletableFuture<Void> drained = this.proxy.drain(DRAIN_ACCEPT_MS);
-			drained.orTimeout(this.settings.stopTimeoutMs() - STOP_MARGIN_MS, TimeUnit.MILLISECONDS)
+			long limitMs = drainLimitMs(this.settings.stopTimeoutMs());
+			this.proxy.drain(DRAIN_ACCEPT_MS, limitMs)
+				.orTimeout(limitMs, TimeUnit.MILLISECONDS)
 				.whenComplete((ignored, failure) -> completeStop());
 		}
 		return this.stopped;
@@ -233,8 +239,18 @@
 		}
 	}
 
+	private static long drainLimitMs(long stopTimeoutMs) {
+		return stopTimeoutMs - Math.min(MAX_STOP_MARGIN_MS, (long) (stopTimeoutMs * MAX_STOP_MARGIN_SHARE));
+	}
+
 	private void completeStop() {
-		this.log.log(DaemonEvent.STOPPED);
+		long unfinished = this.proxy.requestsInFlight();
+		if (unfinished > 0) {
+			this.log.log(DaemonEvent.STOP_TIMED_OUT, unfinished);
+		}
+		else {
+			this.log.log(DaemonEvent.STOPPED);
+		}
 		this.stopped.complete(null);
 	}
 
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -26,6 +26,7 @@
 import org.wigeonmast.dispatch.RequestEvent;
 import org.wigeonmast.manifest.Manifest;
 import org.wigeonmast.proxy.internal.CallerInitializer;
+import org.wigeonmast.proxy.internal.DrainSchedule;
 import org.wigeonmast.proxy.internal.ProxyContext;
 import org.wigeonmast.proxy.internal.ProxyMetrics;
 
@@ -63,6 +64,8 @@
 
 	private volatile ProxyConfiguration configuration;
 
+	private final MillisecondClock clock;
+
 	private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("wigeonmast-traffic"));
 
 	private final EventLoop eventLoop = this.group.next();
@@ -98,6 +101,7 @@
 	public ProxyServer(ProxyConfiguration configuration, MillisecondClock clock, RequestRouter router,
 			Consumer<RequestEvent> events, MetricRegistry metrics) {
 		this.configuration = configuration;
+		this.clock = clock;
 		this.context = new ProxyContext(configuration, clock, router, events, () -> this.liveDaemons.getAsInt(),
 				this.eventLoop, new ProxyMetrics(metrics));
 	}
@@ -197,21 +201,33 @@
 	 * @return completes when all connections of callers are closed
 	 */
 	public CompletableFuture<Void> drain() {
-		return drain(0);
+		return drain(0, DrainSchedule.NO_LIMIT);
 	}
 
 	/**
 	 * Drains as {@link #drain()} does, but accepts connections for a minimum time, in
-	 * which a load balancer that was not notified earlier still opens some.
+	 * which a load balancer that was not notified earlier still opens some, and refuses
+	 * requests that cannot be answered before the process ends.
 	 * @param minAcceptingMs the minimum time in milliseconds
+	 * @param limitMs the time in milliseconds after which the caller of this method ends
+	 * whatever is in flight, {@link Long#MAX_VALUE} if it waits for all requests
 	 * @return completes when all connections of callers are closed
 	 */
-	public CompletableFuture<Void> drain(long minAcceptingMs) {
+	public CompletableFuture<Void> drain(long minAcceptingMs, long limitMs) {
 		CompletableFuture<Void> drained = new CompletableFuture<>();
-		this.eventLoop.execute(() -> this.context.drain(this::closeListener, drained, minAcceptingMs));
+		DrainSchedule schedule = new DrainSchedule(this.clock.milliseconds(), minAcceptingMs, limitMs);
+		this.eventLoop.execute(() -> this.context.drain(this::closeListener, drained, schedule));
 		return drained;
 	}
 
+	/**
+	 * Returns the number of requests that have not ended.
+	 * @return the number
+	 */
+	public long requestsInFlight() {
+		return this.context.requestsInFlight();
+	}
+
 	private void closeListener() {
 		Channel bound = this.listener;
 		if (bound != null) {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
@@ -26,18 +26,6 @@
  */
 public final class ProxyContext {
 
-	/**
-	 * Time in milliseconds without a new connection after which a draining proxy closes
-	 * its listener.
-	 */
-	private static final long QUIET_PERIOD_MS = 300;
-
-	/**
-	 * Time in milliseconds after which a draining proxy closes its listener although new
-	 * connections still arrive.
-	 */
-	private static final long MAX_ACCEPTING_MS = 5000;
-
 	private static final EventLog LOG = new EventLog(ProxyContext.class);
 
 	private ProxyConfiguration configuration;
@@ -66,12 +54,10 @@
 
 	private @Nullable CompletableFuture<Void> drainFuture;
 
-	private long drainingSinceMs;
+	private @Nullable DrainSchedule drainSchedule;
 
 	private long lastConnectionMs;
 
-	private long acceptingUntilMs;
-
 	private @Nullable Runnable closeListener;
 
 	/**
@@ -135,19 +121,17 @@
 	 * while, because closing the listener resets the connections in its accept queue
 	 * @param completion completes when the listener and all connections of callers are
 	 * closed
-	 * @param minAcceptingMs the minimum time in milliseconds for which connections are
-	 * accepted
+	 * @param schedule how long connections are accepted and requests passed on
 	 */
-	public void drain(Runnable closing, CompletableFuture<Void> completion, long minAcceptingMs) {
+	public void drain(Runnable closing, CompletableFuture<Void> completion, DrainSchedule schedule) {
 		if (this.drainFuture != null) {
 			this.drainFuture.whenComplete((nothing, exception) -> completion.complete(null));
 			return;
 		}
 		LOG.log(ProxyEvent.DRAINING, this.callers.size());
 		this.drainFuture = completion;
-		this.drainingSinceMs = this.clock.milliseconds();
+		this.drainSchedule = schedule;
 		this.closeListener = closing;
-		this.acceptingUntilMs = this.drainingSinceMs + minAcceptingMs;
 	}
 
 	/** Closes all connections at once. */
@@ -160,11 +144,8 @@
 
 	private void closeListenerWhenQuiet(long now) {
 		Runnable closing = this.closeListener;
-		if (closing == null || now < this.acceptingUntilMs) {
-			return;
-		}
-		boolean quiet = now - Math.max(this.lastConnectionMs, this.drainingSinceMs) >= QUIET_PERIOD_MS;
-		if (quiet || now - this.drainingSinceMs >= MAX_ACCEPTING_MS) {
+		if (closing != null && this.drainSchedule != null
+				&& this.drainSchedule.endsAccepting(now, this.lastConnectionMs)) {
 			this.closeListener = null;
 			closing.run();
 			completeDrain();
@@ -181,7 +162,17 @@
 	}
 
 	boolean isDraining() {
-		return this.drainFuture != null;
+		return this.drainSchedule != null;
+	}
+
+	/**
+	 * Returns whether a request can be answered before a planned stop ends.
+	 * @param head the head of the request
+	 * @return whether it is passed on
+	 */
+	boolean admits(AdmittedHead head) {
+		return this.drainSchedule == null
+				|| this.drainSchedule.admits(this.clock.milliseconds(), head.deadline(), head.route().idempotent());
 	}
 
 	/**
@@ -189,7 +180,15 @@
 	 * @return the monotonic time in milliseconds
 	 */
 	long drainingSinceMs() {
-		return this.drainingSinceMs;
+		return (this.drainSchedule != null) ? this.drainSchedule.startedAt() : 0;
+	}
+
+	/**
+	 * Returns the number of requests that have not ended. Can be called from any thread.
+	 * @return the number
+	 */
+	public long requestsInFlight() {
+		return this.metrics.inFlight();
 	}
 
 	ProxyMetrics metrics() {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyMetrics.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyMetrics.java
@@ -77,6 +77,10 @@
 		countOutcome(outcome);
 	}
 
+	long inFlight() {
+		return this.inFlight.getCount();
+	}
+
 	void countOutcome(Outcome outcome) {
 		Meter meter = this.outcomes.get(outcome);
 		if (meter != null) {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestAdmission.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/RequestAdmission.java
@@ -24,6 +24,8 @@
  */
 final class RequestAdmission {
 
+	private static final String STOPPING = "The daemon stops before the deadline of the request";
+
 	private final ProxyContext context;
 
 	private final RequestIds requestIds = new RequestIds();
@@ -45,7 +47,7 @@
 		}
 		String host = request.headers().get(HttpHeaderNames.HOST);
 		return switch (this.context.router().route(host, request.method().name(), path(request.uri()))) {
-			case RequestRouter.Result.Found found -> Either.right(createHead(request, peer, found.route()));
+			case RequestRouter.Result.Found found -> admitInTime(createHead(request, peer, found.route()));
 			case RequestRouter.Result.Unconfigured unconfigured ->
 				Either.left(new Rejection(Problem.NOT_RUN, unconfigured.reason()));
 			case RequestRouter.Result.Unknown _ ->
@@ -53,6 +55,10 @@
 		};
 	}
 
+	private Either<Rejection, AdmittedHead> admitInTime(AdmittedHead head) {
+		return this.context.admits(head) ? Either.right(head) : Either.left(new Rejection(Problem.NOT_RUN, STOPPING));
+	}
+
 	/**
 	 * Returns whether a request has no body and may be run more than once.
 	 * @param request the request
