Break off an answer whose reset a write meets first

Cause: with a part of an upload waiting to be written, the event loop meets a reset in the write. Netty closes the channel, and the response decoder ends a response without length before BackendConnection learns of the end.

Change: a write that fails with an error of the connection queues the end before what the decoder makes of the closing.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
@@ -1,5 +1,7 @@
 package org.wigeonmast.proxy.internal;
 
+import java.nio.channels.ClosedChannelException;
+
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,9 +15,10 @@
 /**
  * Connection to a backend server, which carries one attempt at a time.
  * <p>
- * Thread safety: none; the traffic thread owns it. Invariant: bytes that arrive while no
+ * Thread safety: none; the traffic thread owns it. Invariants: bytes that arrive while no
  * attempt uses the connection close it, so that they are never mistaken for the response
- * to the next request.
+ * to the next request; a response without length is complete only if the server ended the
+ * stream, not if the connection broke.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -24,10 +27,8 @@
 	private final BackendResponseDecoder decoder;
 
 	private final ChannelFutureListener writeListener = (future) -> {
-		// A closed connection may still have a queued response; its end is reported after
-		// that.
-		if (!future.isSuccess() && isActive()) {
-			fail("Writing failed: " + future.cause());
+		if (!future.isSuccess()) {
+			onWriteFailed(future.cause());
 		}
 	};
 
@@ -195,6 +196,20 @@
 		ctx.close();
 	}
 
+	private void onWriteFailed(Throwable cause) {
+		if (isActive()) {
+			fail("Writing failed: " + cause);
+		}
+		else if (!(cause instanceof ClosedChannelException)) {
+			// The server reset the connection, and the failed write closed the channel
+			// before the reset was read. The decoder then ends a response without length
+			// as if the server had; the end that is queued first makes it incomplete.
+			queueEnd("The connection broke: " + cause);
+		}
+		// Otherwise the channel was closed after the server's end of stream, which
+		// follows the messages that are still queued.
+	}
+
 	private void queueEnd(String reason) {
 		if (this.messages != null) {
 			this.messages.end(reason);
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RawConnection.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RawConnection.java
@@ -104,6 +104,17 @@
 			.orElse("");
 	}
 
+	/** Ends the stream that this side sends; the other direction stays open. */
+	void endOutput() throws IOException {
+		this.socket.shutdownOutput();
+	}
+
+	/** Closes the connection with a reset. */
+	void reset() throws IOException {
+		this.socket.setSoLinger(true, 0);
+		this.socket.close();
+	}
+
 	@Override
 	public void close() {
 		try {
