--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TruncatedResponseTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/TruncatedResponseTests.java
@@ -67,8 +67,8 @@
 		}
 	}
 
-	// Guards against half of a head that is taken for the head of the next answer's body
-	// on a connection that has carried an answer.
+	// Guards against a part of an answer that looks complete on a connection that has
+	// carried an answer before.
 	@Test
 	void prefixOfALaterAnswerOnAKeptConnectionIsNeverComplete() throws Exception {
 		String answer = Framing.LENGTH.answer;
