Refuse an answer without length that holds another answer

Cause: a body without length ends with its connection alone. A server that repeats an answer before it closes the connection adds the repeat to that body; the identifier of a response is checked only where the next response is expected, and within such a body none is expected.

Change: a body that ends with its connection is examined for the head of a response that names a request. The attempt then fails, so that an idempotent request goes to another server and another one ends as unknown, event 811. A body that ends within the head of a response fails too, since the identifier may be missing only because the connection ended first. Cutting the body before the second head was not done: the first answer may have been broken off as well, and half an answer must not look complete. Bodies with a length or in chunks have an end of their own and are not examined.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyEvent.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyEvent.java
@@ -49,6 +49,10 @@
 	FOREIGN_RESPONSE(810, Level.WARN, "request {} at {}: skipped a response to another request",
 			"Check the backend server, which answered twice or late; the connection is not reused."),
 
+	/** Another response stands in the body of a response without length. */
+	EMBEDDED_RESPONSE(811, Level.WARN, "request {} at {}: another response follows a response without length",
+			"Check the backend server, which answered twice; the request failed because its body has no certain end."),
+
 	/** An error in the program ended a connection. */
 	UNEXPECTED_ERROR(809, Level.ERROR, "Closed a connection because of an unexpected error: {}",
 			"This is an error in the program; report it with the log around this entry.");
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -94,6 +94,8 @@
 
 	private @Nullable HttpResponse response;
 
+	private @Nullable EmbeddedAnswerDetector answerDetector;
+
 	private @Nullable ScheduledFuture<?> timer;
 
 	Attempt(ProxyContext context, Exchange exchange, ExchangeCommand.StartAttempt command) {
@@ -282,6 +284,9 @@
 				this.connection.setIdleLimit(idleLimit - IDLE_MARGIN_MS);
 			}
 		}
+		if (ResponseChecks.endsWithConnection(head, conventions())) {
+			this.answerDetector = new EmbeddedAnswerDetector(conventions().requestId());
+		}
 		if (this.context.configuration().limits().heldResponse() > 0) {
 			this.state = State.HOLDING;
 			requestNext();
@@ -334,6 +339,11 @@
 			content.release();
 			requestNext();
 		}
+		else if (holdsAnotherAnswer(content, last)) {
+			content.release();
+			LOG.log(ProxyEvent.EMBEDDED_RESPONSE, this.exchange.head().externalId(), server());
+			fail("Another response follows a response without length", false);
+		}
 		else if (this.state == State.HOLDING) {
 			bufferContent(content);
 		}
@@ -355,6 +365,11 @@
 		}
 	}
 
+	private boolean holdsAnotherAnswer(HttpContent content, boolean last) {
+		EmbeddedAnswerDetector detector = this.answerDetector;
+		return detector != null && (detector.examine(content.content()) || (last && detector.endsWithinHead()));
+	}
+
 	private void onLastContent(HttpContent content) {
 		this.state = State.FLUSHING;
 		releaseConnection();
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseChecks.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseChecks.java
@@ -45,6 +45,18 @@
 				&& HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.getFirst());
 	}
 
+	/**
+	 * Returns whether only the end of its connection ends the body of a response, and
+	 * servers name the request of each response, so that one behind it is recognised.
+	 * @param head the head of the response
+	 * @param conventions the names of header fields
+	 * @return whether another response behind it would look like a part of its body
+	 */
+	static boolean endsWithConnection(HttpResponse head, HeaderConventions conventions) {
+		return conventions.requestIdEchoed() && !head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+				&& !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+	}
+
 	/**
 	 * Returns whether a response belongs to another request.
 	 * @param head the head of the response
