Close the connections of callers when a planned stop ends

What callers saw: a connection to a daemon whose stop had ended (event 1004 or 1013) stayed open for 0.3 s; requests on it got neither an answer nor an end until the process was gone.

Cause: the process halted with open connections. The operating system closes them when the process is gone, and the Java runtime waits for threads in native code first, such as an event loop that waits for input. That wait is read from the runtime's documented behaviour at its end; no run shows the thread.

Change: the daemon closes the connections of callers before it reports its stop as ended. What was written to them is still sent.

PlannedStopTests.connectionsAreClosedWhenTheStopEnds failed before (the connection stayed open) and passes.

--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/balanced/BalancedDaemon.java
@@ -94,6 +94,12 @@
 	/** Share of the stop timeout that this margin never exceeds. */
 	private static final double MAX_STOP_MARGIN_SHARE = 0.125;
 
+	/**
+	 * Time within which the connections that are open at the end of a stop are closed;
+	 * the process ends after that in any case.
+	 */
+	private static final long CLOSE_CALLERS_TIMEOUT_MS = 100;
+
 	/**
 	 * Time after the start for which connections of callers are held unread until the
 	 * published state is known. After that, requests are read and refused.
@@ -251,7 +257,11 @@
 		else {
 			this.log.log(DaemonEvent.STOPPED);
 		}
-		this.stopped.complete(null);
+		// The end of the process closes connections later than that: the Java runtime
+		// waits for threads in native code first.
+		this.proxy.closeCallers()
+			.orTimeout(CLOSE_CALLERS_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+			.whenComplete((ignored, failure) -> this.stopped.complete(null));
 	}
 
 	private RequestRouter.Result route(String host, String method, String path) {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -220,6 +220,14 @@
 		return drained;
 	}
 
+	/**
+	 * Closes the connections of callers at the end of a drain that took too long.
+	 * @return completes when they are closed
+	 */
+	public CompletableFuture<Void> closeCallers() {
+		return CompletableFuture.runAsync(this.context::closeCallers, this.eventLoop);
+	}
+
 	/**
 	 * Returns the number of requests that have not ended.
 	 * @return the number
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -445,6 +445,16 @@
 		channelContext().close();
 	}
 
+	/**
+	 * Closes the connection although its requests, which stay in flight, have no answer.
+	 */
+	void closeUnanswered() {
+		this.state = State.CLOSING;
+		this.exchange = null;
+		this.earlyRequests.clear();
+		channelContext().close();
+	}
+
 	/**
 	 * Closes the connection if it is idle or too slow.
 	 * @param now the current monotonic time in milliseconds
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
@@ -134,6 +134,16 @@
 		this.closeListener = closing;
 	}
 
+	/**
+	 * Closes the connections of callers at the end of a drain that took too long. What
+	 * was written to them is still sent.
+	 */
+	public void closeCallers() {
+		for (CallerConnection caller : Set.copyOf(this.callers)) {
+			caller.closeUnanswered();
+		}
+	}
+
 	/** Closes all connections at once. */
 	public void closeAll() {
 		for (CallerConnection caller : Set.copyOf(this.callers)) {
