Keep no connection that carried a HEAD request

What callers saw: a request that followed a HEAD on the same connection to a server got 504 at its deadline, if the server repeated the answer to the HEAD. A non-idempotent one had run.

Cause: the repeat of an answer to HEAD states a length and has no body. It arrives while another request awaits its answer, so the decoder takes the next answer for the body of the repeat.

Change: the connection is closed after the answer to a HEAD request.

Measured: RepeatedAnswerTests.repeatedAnswerToHeadDoesNotDisturbTheNextRequest failed before with 504, and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -134,7 +134,7 @@
 			return;
 		}
 		this.connection = acquired;
-		acquired.attach(this, HttpMethod.HEAD.equals(this.exchange.head().request().method()));
+		acquired.attach(this, isHeadRequest());
 		send(acquired);
 	}
 
@@ -266,7 +266,8 @@
 	private void acceptHead(HttpResponse head) {
 		this.response = head;
 		this.headAtNanos = System.nanoTime();
-		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreignReceived;
+		// A late repeat of a response to HEAD states a length and has no body.
+		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreignReceived && !isHeadRequest();
 		this.statedNotRun = conventions().statesNotRun(head);
 		if (this.statedNotRun && !ResponseChecks.hasRequestId(head, conventions()) && !isFirstOnConnection()) {
 			this.statedNotRun = false;
@@ -296,6 +297,10 @@
 		}
 	}
 
+	private boolean isHeadRequest() {
+		return HttpMethod.HEAD.equals(this.exchange.head().request().method());
+	}
+
 	private boolean isFirstOnConnection() {
 		return this.connection != null && this.connection.isFirstAttempt() && !this.foreignReceived;
 	}
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RepeatedAnswerTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RepeatedAnswerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -10,7 +11,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-/** Tests of servers that send an answer once more behind an answer without length. */
+/** Tests of servers that send an answer once more. */
 class RepeatedAnswerTests {
 
 	private static final String HEAD = "HTTP/1.1 200 OK\r\nTry-Id: t1\r\nProof: p\r\nConnection: close\r\n\r\n";
@@ -74,6 +75,33 @@
 		assertThat(received).endsWith(OTHER_ANSWER);
 	}
 
+	// Guards against a repeated answer to HEAD, whose stated length belongs to no body,
+	// that swallows the answer to the next request.
+	@Test
+	void repeatedAnswerToHeadDoesNotDisturbTheNextRequest() throws Exception {
+		AtomicInteger connections = new AtomicInteger();
+		ScriptedServer.Script script = (connection) -> {
+			int number = connections.incrementAndGet();
+			while (true) {
+				String id = RawConnection.header(connection.readMessage(), "try-id");
+				String repeated = (number == 1 && id.equals("t1")) ? answerTo("t0", 500, "") : "";
+				connection.write(repeated + (id.equals("t0") ? answerTo("t0", 500, "") : answerTo("t1", 2, "ok")));
+			}
+		};
+		try (ScriptedServer backend = new ScriptedServer(script);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			caller.write("HEAD /s HTTP/1.1\r\nHost: h\r\nTry-Id: t0\r\nTime-Left: 5000\r\n\r\n");
+			assertThat(caller.readHead()).startsWith("HTTP/1.1 200 ");
+			caller.write("GET /s HTTP/1.1\r\nHost: h\r\nTry-Id: t1\r\nTime-Left: 1500\r\n\r\n");
+			assertThat(caller.readMessage()).endsWith("\r\n\r\nok");
+		}
+	}
+
+	private static String answerTo(String id, int length, String body) {
+		return "HTTP/1.1 200 OK\r\nTry-Id: " + id + "\r\nProof: p\r\nContent-Length: " + length + "\r\n\r\n" + body;
+	}
+
 	private static String exchange(List<String> parts) throws Exception {
 		ScriptedServer.Script script = (connection) -> {
 			connection.readMessage();
