Send a request on a connection once only

What callers could see: "not run" for a request that runs, so that the caller may send it again.

Cause: a connection goes back to the pool after a refusal. If the request is sent again to the same address, which two records may name, it may go out on the same connection. A late repeat of the refusal then carries the identifier of the request that waits, and passes as the answer to the second attempt, which the server runs.

Change: an attempt does not use a connection that carried an earlier attempt of its request.

Measured: RepeatedAnswerTests.repeatedRefusalSaysNothingAboutTheSecondAttempt failed before (the caller got the refusal of a request that ran) and passes. No play of real processes has shown it.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -134,6 +134,7 @@
 			return;
 		}
 		this.connection = acquired;
+		this.exchange.recordConnection(acquired);
 		acquired.attach(this, isHeadRequest());
 		send(acquired);
 	}
@@ -495,6 +496,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether the connection carried an earlier attempt of the same request,
+	 * whose late response would look like the response to this one.
+	 * @param candidate the connection
+	 * @return whether this attempt must not use it
+	 */
+	boolean mayConfuseResponses(BackendConnection candidate) {
+		return this.exchange.hasUsed(candidate);
+	}
+
 	int number() {
 		return this.command.attempt();
 	}
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendPool.java
@@ -79,7 +79,7 @@
 	void acquire(BackendServer server, ConnectionRequirement requirement, Attempt attempt) {
 		ServerConnections connections = this.servers.computeIfAbsent(server.address(),
 				(address) -> new ServerConnections());
-		BackendConnection idle = takeIdle(connections, requirement);
+		BackendConnection idle = takeIdle(connections, requirement, attempt);
 		if (idle != null) {
 			attempt.onConnected(idle);
 			return;
@@ -147,19 +147,26 @@
 		return server.connections() / Math.max(1, this.liveDaemons.getAsInt());
 	}
 
-	private @Nullable BackendConnection takeIdle(ServerConnections connections, ConnectionRequirement requirement) {
+	private @Nullable BackendConnection takeIdle(ServerConnections connections, ConnectionRequirement requirement,
+			Attempt attempt) {
 		long now = this.clock.milliseconds();
-		BackendConnection last = connections.idle.pollLast();
-		while (last != null && !last.isUsable(now)) {
-			last.close();
-			last = connections.idle.pollLast();
-		}
-		if (last != null && requirement == ConnectionRequirement.PROVEN
-				&& now - last.lastProven() > this.configuration.get().timeouts().proven()) {
-			connections.idle.addLast(last);
-			return null;
+		Iterator<BackendConnection> newestFirst = connections.idle.descendingIterator();
+		while (newestFirst.hasNext()) {
+			BackendConnection candidate = newestFirst.next();
+			if (!candidate.isUsable(now)) {
+				newestFirst.remove();
+				candidate.close();
+			}
+			else if (requirement == ConnectionRequirement.PROVEN
+					&& now - candidate.lastProven() > this.configuration.get().timeouts().proven()) {
+				return null;
+			}
+			else if (!attempt.mayConfuseResponses(candidate)) {
+				newestFirst.remove();
+				return candidate;
+			}
 		}
-		return last;
+		return null;
 	}
 
 	private void connect(BackendServer server, ServerConnections connections, Attempt attempt) {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Exchange.java
@@ -38,6 +38,8 @@
 
 	private final List<Attempt> attempts = new ArrayList<>(1);
 
+	private final List<BackendConnection> usedConnections = new ArrayList<>(1);
+
 	private @Nullable Attempt streamingAttempt;
 
 	private @Nullable Attempt relayedAttempt;
@@ -350,6 +352,23 @@
 		return this.caller.isWaitingForTurn();
 	}
 
+	/**
+	 * Records that an attempt uses a connection.
+	 * @param connection the connection
+	 */
+	void recordConnection(BackendConnection connection) {
+		this.usedConnections.add(connection);
+	}
+
+	/**
+	 * Returns whether an attempt has used a connection.
+	 * @param connection the connection
+	 * @return whether the request was sent on it
+	 */
+	boolean hasUsed(BackendConnection connection) {
+		return this.usedConnections.contains(connection);
+	}
+
 	AdmittedHead head() {
 		return this.head;
 	}
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RepeatedAnswerTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RepeatedAnswerTests.java
@@ -7,6 +7,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wigeonmast.dispatch.AttemptReport;
+import org.wigeonmast.dispatch.ConnectionRequirement;
+import org.wigeonmast.dispatch.ExchangeCommand;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -98,6 +101,35 @@
 		}
 	}
 
+	// Guards against a repeated refusal that passes as the answer to the second attempt
+	// of the same request, which the server runs.
+	@Test
+	void repeatedRefusalSaysNothingAboutTheSecondAttempt() throws Exception {
+		String refusal = "HTTP/1.1 421 Misdirected Request\r\nTry-Id: t1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+		AtomicInteger requests = new AtomicInteger();
+		ScriptedServer.Script script = (connection) -> {
+			boolean refused = false;
+			while (true) {
+				connection.readMessage();
+				boolean first = requests.incrementAndGet() == 1;
+				connection.write((first || refused) ? refusal : "");
+				refused |= first;
+				connection.write(first ? "" : answerTo("t1", 2, "ok"));
+			}
+		};
+		try (ScriptedServer backend = new ScriptedServer(script);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4));
+				RawConnection caller = proxy.connect()) {
+			proxy.setReaction((
+					progress) -> (progress.attempt() == 1 && progress.report() instanceof AttemptReport.ResponseStarted)
+							? new ExchangeCommand.StartAttempt(progress.request(), 2, proxy.backend(),
+									ConnectionRequirement.PROVEN, Long.MAX_VALUE / 2)
+							: null);
+			caller.write("DELETE /s HTTP/1.1\r\nHost: h\r\nTry-Id: t1\r\nTime-Left: 5000\r\n\r\n");
+			assertThat(caller.readMessage()).endsWith("\r\n\r\nok");
+		}
+	}
+
 	private static String answerTo(String id, int length, String body) {
 		return "HTTP/1.1 200 OK\r\nTry-Id: " + id + "\r\nProof: p\r\nContent-Length: " + length + "\r\n\r\n" + body;
 	}
