Decide the kind of a response apart from the attempt

ResponseKind says what the head of a response is to the request that waits: informational, foreign, invalid or its answer. The order of the checks is as before.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -241,44 +240,27 @@
 	}
 
 	private void onHead(HttpResponse head) {
-		if (HttpResponseStatus.SWITCHING_PROTOCOLS.equals(head.status())) {
-			fail("The server switched protocols without being asked to", false);
-		}
-		else if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-			this.skippingInformational = true;
-			requestNext();
-		}
-		else if (!ResponseChecks.isFramingValid(head.headers())) {
-			fail("The response states its length ambiguously", false);
-		}
-		else if (ResponseChecks.isForeign(head, conventions(), this.exchange.head().externalId())) {
-			// A late or duplicate response to another request; the response to this
-			// request follows it.
-			LOG.log(ProxyEvent.FOREIGN_RESPONSE, this.exchange.head().externalId(), server());
-			this.foreignReceived = true;
-			this.skippingForeign = true;
-			requestNext();
-		}
-		else {
-			acceptHead(head);
+		switch (ResponseKind.of(head, conventions(), this.exchange.head().externalId(), isFirstOnConnection())) {
+			case ResponseKind.Informational _ -> {
+				this.skippingInformational = true;
+				requestNext();
+			}
+			case ResponseKind.Foreign _ -> {
+				LOG.log(ProxyEvent.FOREIGN_RESPONSE, this.exchange.head().externalId(), server());
+				this.foreignReceived = true;
+				this.skippingForeign = true;
+				requestNext();
+			}
+			case ResponseKind.Invalid invalid -> fail(invalid.reason(), false);
+			case ResponseKind.Answer answer -> acceptHead(head, answer.statedNotRun());
 		}
 	}
 
-	private void acceptHead(HttpResponse head) {
+	private void acceptHead(HttpResponse head, boolean notRun) {
 		this.response = head;
 		this.headAtNanos = System.nanoTime();
-		// A late repeat of a response to HEAD states a length and has no body.
-		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreignReceived && !isHeadRequest();
-		this.statedNotRun = conventions().statesNotRun(head);
-		if (this.statedNotRun && !ResponseChecks.hasRequestId(head, conventions()) && !isFirstOnConnection()) {
-			this.statedNotRun = false;
-			fail("A refusal without request identifier may belong to an earlier request", false);
-			return;
-		}
-		if (!this.statedNotRun && !ResponseChecks.isValidAnswer(head, conventions())) {
-			fail("The response " + head.status().code() + " is not the server's answer to this request", false);
-			return;
-		}
+		this.statedNotRun = notRun;
+		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreignReceived && !mayHideTheNextAnswer();
 		if (this.connection != null) {
 			this.connection.onAnswerStarted();
 			long idleLimit = ResponseChecks.idleLimitMs(head);
@@ -298,6 +280,12 @@
 		}
 	}
 
+	// A late repeat of a response to HEAD states a length and has no body, so the decoder
+	// would take the next answer for its body.
+	private boolean mayHideTheNextAnswer() {
+		return isHeadRequest() && conventions().requestIdEchoed();
+	}
+
 	private boolean isHeadRequest() {
 		return HttpMethod.HEAD.equals(this.exchange.head().request().method());
 	}
