Accept waiting connections before a planned stop closes the listener

Cause: the listener is closed once no connection was accepted for 0.3 s. After the traffic thread stood still, which a busy host or a share of a core brings about, its timers run before it accepts, so the time in which it could not accept counted as quiet. Closing the listener resets what waits in its queue.

Change: the decision is made again after a pass in which waiting input is read.

Measured: LateTimerTests.connectionThatWaitsToBeAcceptedIsServed failed before (reset) and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
@@ -5,10 +5,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 import org.wigeonmast.core.EventLog;
 import org.wigeonmast.core.MillisecondClock;
@@ -28,6 +30,9 @@
 
 	private static final EventLog LOG = new EventLog(ProxyContext.class);
 
+	/** Time in milliseconds within which input that has arrived is read. */
+	private static final long INPUT_GRACE_MS = 10;
+
 	private ProxyConfiguration configuration;
 
 	private final MillisecondClock clock;
@@ -112,7 +117,7 @@
 			caller.checkTimeouts(now);
 		}
 		this.pool.closeIdle(now);
-		closeListenerWhenQuiet(now);
+		closeListenerWhenQuiet();
 	}
 
 	/**
@@ -152,16 +157,37 @@
 		this.pool.closeIdle();
 	}
 
-	private void closeListenerWhenQuiet(long now) {
+	private void closeListenerWhenQuiet() {
+		if (endsAccepting()) {
+			// Connections in the accept queue would be reset.
+			afterArrivedInput(this::closeListener);
+		}
+	}
+
+	private boolean endsAccepting() {
+		return this.closeListener != null && this.drainSchedule != null
+				&& this.drainSchedule.endsAccepting(this.clock.milliseconds(), this.lastConnectionMs);
+	}
+
+	private void closeListener() {
 		Runnable closing = this.closeListener;
-		if (closing != null && this.drainSchedule != null
-				&& this.drainSchedule.endsAccepting(now, this.lastConnectionMs)) {
+		if (closing != null && endsAccepting()) {
 			this.closeListener = null;
 			closing.run();
 			completeDrain();
 		}
 	}
 
+	/**
+	 * Executes a task after input that has already arrived was read. After the traffic
+	 * thread stood still, its timers run before it reads.
+	 * @param task the task, which decides by what was read
+	 * @return cancels the task
+	 */
+	ScheduledFuture<?> afterArrivedInput(Runnable task) {
+		return this.eventLoop.schedule(task, INPUT_GRACE_MS, TimeUnit.MILLISECONDS);
+	}
+
 	private void completeDrain() {
 		if (this.drainFuture != null && this.closeListener == null && this.callers.isEmpty()) {
 			this.pool.closeIdle();
