Read what has arrived before an idle connection is closed

The timer of an idle connection, during a planned stop 2.5 s, was late and ran before the request was read; the request was then read and dropped, since the connection was closing.

Change: the connection is closed only if it is still idle after a pass in which waiting input is read.

Measured: LateTimerTests.requestThatArrivedOnAnIdleConnectionIsAnswered failed before (the stream ended) and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -486,6 +486,13 @@
 		}
 		else if (!this.headStarted
 				&& waitedMs > (this.context.isDraining() ? timeouts.drainIdle() : timeouts.keepAlive())) {
+			long idleSinceMs = this.stateSinceMs;
+			this.context.afterArrivedInput(() -> closeIfIdle(idleSinceMs));
+		}
+	}
+
+	private void closeIfIdle(long idleSinceMs) {
+		if (this.state == State.HEAD && !this.headStarted && this.stateSinceMs == idleSinceMs) {
 			startLingeringClose();
 		}
 	}
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/LateTimerTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/LateTimerTests.java
@@ -30,6 +30,23 @@
 
 	private final AtomicBoolean stopped = new AtomicBoolean();
 
+	// Guards against closing an idle connection on which a request has arrived.
+	@Test
+	void requestThatArrivedOnAnIdleConnectionIsAnswered() throws Exception {
+		try (ScriptedServer backend = new ScriptedServer(this::answer);
+				TestProxy proxy = stoppingProxy(backend);
+				RawConnection idle = proxy.connect();
+				RawConnection other = proxy.connect()) {
+			proxy.server().drain();
+			other.write(GET_OF_OTHER_CALLER);
+			this.standstill.await();
+			idle.write(GET);
+			proxy.advanceTime(LONG_TIME_MS);
+			endStandstill();
+			assertThat(idle.readMessage()).endsWith("\r\n\r\nt1");
+		}
+	}
+
 	// Guards against closing the listener while connections wait to be accepted, which
 	// resets them.
 	@Test
