Deliver an answer that arrived before its deadline

What callers could see: 504 for a request whose answer had reached the daemon in time, while the daemon stood still.

The deadline of the attempt ran before the answer was read.

Measured: LateTimerTests.answerThatArrivedBeforeItsDeadlineIsDelivered failed before (504) and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -115,7 +115,7 @@
 			fail("The body was already passed on and is not held in memory", false);
 			return;
 		}
-		this.timer = this.context.eventLoop().schedule(this::onTimeout, remaining, TimeUnit.MILLISECONDS);
+		this.timer = this.context.eventLoop().schedule(this::onDeadline, remaining, TimeUnit.MILLISECONDS);
 		this.context.pool().acquire(this.command.server(), this.command.requirement(), this);
 	}
 
@@ -458,6 +458,11 @@
 		return this.context.configuration().headers();
 	}
 
+	// The response may have arrived in time and wait to be read.
+	private void onDeadline() {
+		this.timer = this.context.afterArrivedInput(this::onTimeout);
+	}
+
 	private void onTimeout() {
 		if (this.state == State.HELD && this.responseComplete) {
 			// The whole response is buffered and about to be relayed.
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/LateTimerTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/LateTimerTests.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.wigeonmast.dispatch.AttemptReport;
+import org.wigeonmast.dispatch.RequestEvent;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -47,6 +48,21 @@
 		}
 	}
 
+	// Guards against giving up an answer that has arrived before its deadline.
+	@Test
+	void answerThatArrivedBeforeItsDeadlineIsDelivered() throws Exception {
+		try (ScriptedServer backend = new ScriptedServer(this::answer);
+				TestProxy proxy = stoppingProxy(backend);
+				RawConnection caller = proxy.connect();
+				RawConnection other = proxy.connect()) {
+			caller.write(GET.replace("5000", "250"));
+			proxy.next(RequestEvent.Accepted.class);
+			other.write(GET_OF_OTHER_CALLER);
+			endStandstill();
+			assertThat(caller.readMessage()).endsWith("\r\n\r\nt1");
+		}
+	}
+
 	// Guards against closing the listener while connections wait to be accepted, which
 	// resets them.
 	@Test
