Send no refusal on a connection that is idle after pipelined requests

What callers saw: a 408 on an idle connection, 3 s after the answers to requests that they had sent before the first was answered. With two or three requests each time, on and on, by real processes.

Cause: the decoder reports that a head has begun, and the connection forgot that only when it took the head from its queue. A pipelined request that is worked on early never is taken from it, so an idle connection counted as one whose head does not arrive in time. An empty line behind a request counted as a head too.

Change: the mark ends when the decoder has the whole head, in the order of the bytes; empty lines begin no head.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -130,6 +130,9 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		if (message instanceof HttpRequest) {
+			this.headStarted = false;
+		}
 		if (this.messages != null) {
 			this.messages.add(message);
 		}
@@ -221,7 +224,6 @@
 			requestNext();
 			return;
 		}
-		this.headStarted = false;
 		this.keepAlive = false;
 		this.encoder.setHeadRequest(HttpMethod.HEAD.equals(request.method()));
 		Either<Rejection, AdmittedHead> admitted = this.context.admission().admit(request, peerAddress());
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerRequestDecoder.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerRequestDecoder.java
@@ -70,7 +70,7 @@
 	 * @param bytes the bytes that are not decoded yet
 	 */
 	private void checkHeadLines(ByteBuf bytes) {
-		if (!this.inHead && bytes.isReadable()) {
+		if (!this.inHead && bytes.forEachByte((next) -> next == '\r' || next == '\n') >= 0) {
 			this.inHead = true;
 			this.headStartListener.run();
 		}
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/PipeliningTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/PipeliningTests.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonmast.dispatch.RequestEvent;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -14,6 +16,10 @@
 
 	private static final int TIMEOUT_SECONDS = 10;
 
+	private static final long LONGER_THAN_A_HEAD_MAY_TAKE_MS = 15_000;
+
+	private static final long SEVERAL_CHECKS_OF_TIMEOUTS_MS = 300;
+
 	private final CountDownLatch secondArrived = new CountDownLatch(1);
 
 	private final CountDownLatch release = new CountDownLatch(1);
@@ -36,6 +42,40 @@
 		}
 	};
 
+	// Guards against a refusal on an idle connection that its caller takes for the answer
+	// to the next request.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "\r\n" })
+	void connectionThatIsIdleAfterPipelinedRequestsGetsNoRefusal(String lineEnd) throws Exception {
+		try (ScriptedServer backend = new ScriptedServer(this.firstWaitsForSecond);
+				TestProxy proxy = new TestProxy(backend.description(8));
+				RawConnection caller = proxy.connect()) {
+			caller.write(get("/s/1") + get("/s/2") + get("/s/3") + lineEnd);
+			for (String target : new String[] { "/s/1", "/s/2", "/s/3" }) {
+				assertThat(caller.readMessage()).endsWith(target);
+			}
+			proxy.advanceTime(LONGER_THAN_A_HEAD_MAY_TAKE_MS);
+			this.release.await(SEVERAL_CHECKS_OF_TIMEOUTS_MS, TimeUnit.MILLISECONDS);
+			caller.write(get("/s/4"));
+			assertThat(caller.readMessage()).endsWith("/s/4");
+		}
+	}
+
+	// Guards against a head that never ends behind pipelined requests.
+	@Test
+	void headThatDoesNotArriveInTimeBehindPipelinedRequestsIsRefused() throws Exception {
+		try (ScriptedServer backend = new ScriptedServer(this.firstWaitsForSecond);
+				TestProxy proxy = new TestProxy(backend.description(8));
+				RawConnection caller = proxy.connect()) {
+			caller.write(get("/s/1") + get("/s/2") + get("/s/3") + "GET /s");
+			for (String target : new String[] { "/s/1", "/s/2", "/s/3" }) {
+				assertThat(caller.readMessage()).endsWith(target);
+			}
+			proxy.advanceTime(LONGER_THAN_A_HEAD_MAY_TAKE_MS);
+			assertThat(caller.readMessage()).startsWith("HTTP/1.1 408 ");
+		}
+	}
+
 	// Guards against short requests that wait behind long ones on the same connection,
 	// and against responses out of order when a later one is ready first.
 	@Test
