Handle messages that arrived during a standstill before late timers

What callers could see: servers that are suspected, and requests that are sent a second time, although the answers had arrived while the daemon stood still.

The control thread runs tasks in the order of the times at which they are due, so a timer that became due during a standstill runs before messages that are handed over after it.

Change: a timer that is 50 ms late or more runs 20 ms later.

Measured: ComponentDriverTests.lateTimerRunsAfterMessagesThatArrivedDuringAStandstill fails without the change by its order of events (not run without it); all tests of the daemon module passed with it.

--- a/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
+++ b/wigeonmast-daemon/src/main/java/org/wigeonmast/daemon/internal/ComponentDriver.java
@@ -16,6 +16,18 @@
  */
 public final class ComponentDriver<M, E> {
 
+	/**
+	 * Delay in milliseconds from which a timer is taken to be late because the process
+	 * stood still.
+	 */
+	private static final long STANDSTILL_MS = 50;
+
+	/**
+	 * Time in milliseconds within which messages that arrived during a standstill are
+	 * handled.
+	 */
+	private static final long INPUT_GRACE_MS = 20;
+
 	private final ControlLoop control;
 
 	private final Component<M, E> component;
@@ -81,12 +93,23 @@
 			long now = this.control.clock().milliseconds();
 			// A timer at Long.MIN_VALUE must not overflow into a very long delay.
 			long delayMs = (next <= now) ? 0 : next - now;
-			this.control.schedule(delayMs, () -> {
-				if (this.scheduledTick == next) {
-					tick();
-				}
-			});
+			this.control.schedule(delayMs, () -> runTick(next, now + delayMs));
+		}
+	}
+
+	private void runTick(long scheduled, long dueAt) {
+		if (this.scheduledTick != scheduled) {
+			return;
+		}
+		if (this.control.clock().milliseconds() - dueAt < STANDSTILL_MS) {
+			tick();
+			return;
 		}
+		this.control.schedule(INPUT_GRACE_MS, () -> {
+			if (this.scheduledTick == scheduled) {
+				tick();
+			}
+		});
 	}
 
 }
