Never read the start of a repeat as the head of the next answer

What callers could see: 200 with the proof field of an earlier answer and the body of a failure, complete (MIXED): a DELETE that the server answered with 500 reached its caller as a success. Found by the review of the trace.

Cause: the class of the answer without length. A server breaks off a repeat within its head; nothing is decoded from it, so the connection counts as idle and carries the next request, and the decoder joins the bytes that wait with the next answer.

Change: a connection on which any byte has arrived since its last answer is not used again. Bytes that come only after the request was sent are told by the status line that then stands within a field or the reason phrase; such a head is invalid.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendConnection.java
@@ -139,7 +139,7 @@
 	 * @return whether it is open and not about to be closed by the server
 	 */
 	boolean isUsable(long now) {
-		return isActive() && now - this.lastProven < this.idleLimitMs;
+		return isActive() && !this.decoder.hasBytesAfterAnswer() && now - this.lastProven < this.idleLimitMs;
 	}
 
 	void setLastProven(long lastProven) {
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendResponseDecoder.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/BackendResponseDecoder.java
@@ -44,6 +44,14 @@
 		this.bytesBeforeAnswer = 0;
 	}
 
+	/**
+	 * Returns whether bytes have arrived since the last answer.
+	 * @return whether some were decoded or wait for the rest of their line
+	 */
+	boolean hasBytesAfterAnswer() {
+		return this.bytesBeforeAnswer > 0 || actualReadableBytes() > 0;
+	}
+
 	/** Records that the last response head belongs to the answer. */
 	void onAnswerStarted() {
 		this.answerStarted = true;
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseKind.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseKind.java
@@ -1,6 +1,7 @@
 package org.wigeonmast.proxy.internal;
 
 import java.util.List;
+import java.util.regex.Pattern;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -18,6 +19,9 @@
  */
 sealed interface ResponseKind {
 
+	/** Start of a status line. */
+	Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}");
+
 	/**
 	 * Returns the kind of a response.
 	 * @param head the head of the response
@@ -34,6 +38,9 @@
 		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			return new Informational();
 		}
+		if (holdsStatusLine(head)) {
+			return new Invalid("The head of the response holds the start of another one");
+		}
 		if (!isFramingValid(head.headers())) {
 			return new Invalid("The response states its length ambiguously");
 		}
@@ -50,6 +57,12 @@
 		return new Answer(statedNotRun);
 	}
 
+	// The start of a repeated response that broke off is continued by the next response.
+	private static boolean holdsStatusLine(HttpResponse head) {
+		return STATUS_LINE.matcher(head.status().reasonPhrase()).find()
+				|| head.headers().entries().stream().anyMatch((field) -> STATUS_LINE.matcher(field.getValue()).find());
+	}
+
 	private static boolean isFramingValid(HttpHeaders headers) {
 		List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
 		List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
