Send HEAD on new connections where servers name requests

What callers saw: 502 for a HEAD if the server repeats an earlier answer before it.

Change: a HEAD request uses no connection that carried another request.

Measured: BrokenRepeatTests.repeatedAnswerDoesNotDisturbHead failed before in 2 of 2 cases (502) and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -496,7 +496,7 @@
 	 * @return whether this attempt must not use it
 	 */
 	boolean mayConfuseResponses(BackendConnection candidate) {
-		return this.exchange.hasUsed(candidate);
+		return mayHideTheNextAnswer() || this.exchange.hasUsed(candidate);
 	}
 
 	int number() {
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/BrokenRepeatTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/BrokenRepeatTests.java
@@ -35,6 +35,15 @@
 		assertThat(answerToTheSecond("DELETE", "", "", start, FAILURE)).doesNotContain("HTTP/1.1 200 ");
 	}
 
+	// Guards against a repeated answer whose body is taken for the answer to HEAD.
+	@ParameterizedTest
+	@ValueSource(strings = { "first", "first\r\n" })
+	void repeatedAnswerDoesNotDisturbHead(String body) throws Exception {
+		String repeated = FIRST.replace("Length: 5", "Length: " + body.length()).replace("first", body);
+		String answer = "HTTP/1.1 200 OK\r\nTry-Id: t1\r\nProof: p\r\nContent-Length: 500\r\n\r\n";
+		assertThat(answerToTheSecond("HEAD", "", "", repeated, answer)).startsWith("HTTP/1.1 200 ");
+	}
+
 	private static String answerToTheSecond(String method, String behindFirst, String whileIdle, String beforeSecond,
 			String second) throws Exception {
 		AtomicInteger connections = new AtomicInteger();
