End a stop whose proxy was closed before

Cause: closing the callers of a closed proxy threw an error, after which the stop would never have been reported as ended. No program of ours closes the proxy during a stop.

Measured: BrokenRepeatTests.callersOfAClosedProxyAreClosed failed before and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -225,7 +225,13 @@
 	 * @return completes when they are closed
 	 */
 	public CompletableFuture<Void> closeCallers() {
-		return CompletableFuture.runAsync(this.context::closeCallers, this.eventLoop);
+		try {
+			return CompletableFuture.runAsync(this.context::closeCallers, this.eventLoop);
+		}
+		catch (RejectedExecutionException exception) {
+			// The proxy was closed with all its connections.
+			return CompletableFuture.completedFuture(null);
+		}
 	}
 
 	/**
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ProxyContext.java
@@ -141,7 +141,7 @@
 
 	/**
 	 * Closes the connections of callers at the end of a drain that took too long. What
-	 * was written to them is still sent.
+	 * the operating system has taken over is still sent.
 	 */
 	public void closeCallers() {
 		for (CallerConnection caller : Set.copyOf(this.callers)) {
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/BrokenRepeatTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/BrokenRepeatTests.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -44,6 +45,16 @@
 		assertThat(answerToTheSecond("HEAD", "", "", repeated, answer)).startsWith("HTTP/1.1 200 ");
 	}
 
+	// Guards against a stop that does not end because its proxy was closed before.
+	@Test
+	void callersOfAClosedProxyAreClosed() throws Exception {
+		try (ScriptedServer backend = ScriptedServer.answering(FIRST);
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(4))) {
+			proxy.close();
+			proxy.server().closeCallers().get();
+		}
+	}
+
 	private static String answerToTheSecond(String method, String behindFirst, String whileIdle, String beforeSecond,
 			String second) throws Exception {
 		AtomicInteger connections = new AtomicInteger();
