End the head of an embedded answer at a line that is no field

What callers saw: 502 for a sound body without length that quotes a status line.

Change: a line without a colon ends the head, as it would for any receiver.

A body without length that ends within a status line is still refused; nothing tells it from a repeat that broke off.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/EmbeddedAnswerDetector.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/EmbeddedAnswerDetector.java
@@ -36,6 +36,8 @@
 
 	private int matchedName;
 
+	private boolean lineMayBeInHead;
+
 	private boolean found;
 
 	/**
@@ -53,11 +55,15 @@
 	 * @return whether a response with a request identifier has begun in the body
 	 */
 	boolean examine(ByteBuf part) {
-		if (!this.found) {
-			part.forEachByte((next) -> {
-				examine(next);
-				return !this.found;
-			});
+		int end = part.writerIndex();
+		for (int index = part.readerIndex(); index < end && !this.found; index++) {
+			if (!this.inHead && this.matchedStart == 0) {
+				index = part.indexOf(index, end, (byte) STATUS_LINE_START.charAt(0));
+				if (index < 0) {
+					break;
+				}
+			}
+			examine(part.getByte(index));
 		}
 		return this.found;
 	}
@@ -94,6 +100,7 @@
 			this.inHead = true;
 			this.headBytes = 0;
 			this.lineBytes = STATUS_LINE_START.length();
+			this.lineMayBeInHead = true;
 			this.matchedName = NO_MATCH;
 		}
 	}
@@ -101,12 +108,14 @@
 	private void examineHead(byte next) {
 		this.headBytes++;
 		if (next == '\n') {
-			this.inHead = this.lineBytes > 0 && this.headBytes < MAX_HEAD_BYTES;
+			this.inHead = this.lineBytes > 0 && this.headBytes < MAX_HEAD_BYTES && this.lineMayBeInHead;
+			this.lineMayBeInHead = false;
 			this.lineBytes = 0;
 			this.matchedName = 0;
 		}
 		else if (next != '\r') {
 			this.lineBytes++;
+			this.lineMayBeInHead |= next == ':';
 			examineName(next);
 		}
 	}
