Keep a whole answer although a later one on its connection breaks

What callers saw: a part of a long answer and a reset, since a request that they had sent behind it broke before its turn.

Cause: the connection was reset at the turn of the broken request, which drops what the caller has not read yet.

Change: nothing of the broken answer has been written by then, so the connection is closed after the answers before it. An answer that breaks at its turn still resets the connection.

Measured: PipeliningTests.answerBeforeABrokenOneIsDeliveredWhole failed before and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -439,6 +439,12 @@
 		requestNext();
 	}
 
+	/** Closes the connection after the answers that were written to it. */
+	void closeAfterAnswers() {
+		this.exchange = null;
+		startLingeringClose();
+	}
+
 	@Override
 	public void resetConnection() {
 		this.state = State.CLOSING;
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/PipelinedRequest.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/PipelinedRequest.java
@@ -70,7 +70,7 @@
 		this.atTurn = true;
 		if (this.broken) {
 			releaseOwnedMessages();
-			this.connection.resetConnection();
+			this.connection.closeAfterAnswers();
 			return;
 		}
 		this.ownedMessages.clear();
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/PipeliningTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/PipeliningTests.java
@@ -20,6 +20,8 @@
 
 	private static final long SEVERAL_CHECKS_OF_TIMEOUTS_MS = 300;
 
+	private static final int LONGER_THAN_BUFFERS = 700_000;
+
 	private final CountDownLatch secondArrived = new CountDownLatch(1);
 
 	private final CountDownLatch release = new CountDownLatch(1);
@@ -76,6 +78,31 @@
 		}
 	}
 
+	// Guards against a whole answer that a slow caller loses because a later one on its
+	// connection breaks.
+	@Test
+	void answerBeforeABrokenOneIsDeliveredWhole() throws Exception {
+		String body = "x".repeat(LONGER_THAN_BUFFERS);
+		ScriptedServer.Script script = (connection) -> {
+			if (connection.readMessage().startsWith("GET /s/1")) {
+				this.secondArrived.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+				connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+				this.release.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			}
+			connection.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+			connection.close();
+			this.secondArrived.countDown();
+		};
+		try (ScriptedServer backend = new ScriptedServer(script);
+				TestProxy proxy = new TestProxy(backend.description(8));
+				RawConnection caller = proxy.connect()) {
+			caller.write(get("/s/1") + get("/s/2"));
+			this.secondArrived.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			this.release.await(SEVERAL_CHECKS_OF_TIMEOUTS_MS, TimeUnit.MILLISECONDS);
+			assertThat(caller.readAll()).endsWith(body);
+		}
+	}
+
 	// Guards against short requests that wait behind long ones on the same connection,
 	// and against responses out of order when a later one is ready first.
 	@Test
