Pass on idempotent requests for at most 3 s of a planned stop

Cause: they are passed on in the first half of the stop whatever their deadline. Beyond 6.8 s of grace that reaches past the 3 s after the signal for which a request that outlasts the stop may be cut.

Change: 3 s, or half of the stop if that is shorter. Nothing changes with the 6 s of the platform.

Measured: DrainScheduleTests.idempotentRequestIsAdmittedForThreeSecondsOfALongStop failed before and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/DrainSchedule.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/DrainSchedule.java
@@ -30,6 +30,12 @@
 	 */
 	private static final long MAX_ACCEPTING_MS = 5000;
 
+	/**
+	 * Time in milliseconds after the start of the drain in which idempotent requests are
+	 * passed on whatever their deadline, unless half of the drain is shorter.
+	 */
+	private static final long MAX_EARLY_MS = 3000;
+
 	/**
 	 * Time in milliseconds before the end of the drain by which the last answers and
 	 * refusals are written.
@@ -37,9 +43,9 @@
 	private static final long LAST_ANSWER_MARGIN_MS = 200;
 
 	/**
-	 * Returns whether a request is passed on. Idempotent requests are passed on during
-	 * the first half of the drain whatever their deadline, since a caller may repeat the
-	 * few that are still unanswered at its end.
+	 * Returns whether a request is passed on. Idempotent requests are passed on early in
+	 * the drain whatever their deadline, since a caller may repeat the few that are still
+	 * unanswered at its end.
 	 * @param now the current monotonic time in milliseconds
 	 * @param deadline the monotonic time in milliseconds by which the request is answered
 	 * @param idempotent whether its caller may repeat it if the connection breaks
@@ -49,7 +55,8 @@
 		if (this.limitMs == NO_LIMIT) {
 			return true;
 		}
-		return deadline <= lastAnswerAt() || (idempotent && now - this.startedAt < this.limitMs / 2);
+		return deadline <= lastAnswerAt()
+				|| (idempotent && now - this.startedAt < Math.min(this.limitMs / 2, MAX_EARLY_MS));
 	}
 
 	/**
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/internal/DrainScheduleTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/internal/DrainScheduleTests.java
@@ -28,6 +28,14 @@
 		assertThat(LIMITED.admits(START, START + 60_000, false)).isFalse();
 	}
 
+	// Guards against requests that a long stop passes on late and then cuts off.
+	@Test
+	void idempotentRequestIsAdmittedForThreeSecondsOfALongStop() {
+		DrainSchedule longStop = new DrainSchedule(START, 3000, 29_200);
+		assertThat(longStop.admits(START + 2999, START + 60_000, true)).isTrue();
+		assertThat(longStop.admits(START + 3000, START + 60_000, true)).isFalse();
+	}
+
 	// Guards against refusals by a daemon that waits for all its requests.
 	@Test
 	void drainWithoutLimitAdmitsAll() {
