Test repeats around long answers and during uploads

Callers of answers that are too long to be held, and of uploads that are streamed, get their own answer although the server repeats an earlier one before, behind and in the middle of the exchange.

--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RepeatedAnswerPlacesTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RepeatedAnswerPlacesTests.java
@@ -215,6 +215,46 @@
 		}
 	}
 
+	// Guards against a repeat around an answer that is too long to be held.
+	@ParameterizedTest
+	@EnumSource
+	void repeatAroundALongAnswerIsDropped(Repeat repeat) throws Exception {
+		String body = "0123456789".repeat(TestProxy.MAX_HELD_RESPONSE_BYTES / 5);
+		String head = "HTTP/1.1 200 OK\r\nTry-Id: t1\r\nProof: p\r\n";
+		for (String own : new String[] { head + "Content-Length: " + body.length() + "\r\n\r\n" + body,
+				head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body
+						+ "\r\n0\r\n\r\n" }) {
+			Result result = play(FIRST, "", repeat.bytes + own + repeat.bytes);
+			assertThat(result.answer.substring(result.answer.indexOf("\r\n\r\n") + 4).equals(body)).isTrue();
+		}
+	}
+
+	// Guards against a repeat during an upload that is taken for its answer.
+	@ParameterizedTest
+	@EnumSource
+	void repeatDuringAnUploadIsDropped(Repeat repeat) throws Exception {
+		int bodyBytes = 3_000_000;
+		try (ScriptedServer backend = new ScriptedServer((connection) -> {
+			connection.readMessage();
+			connection.write(FIRST);
+			connection.readHead();
+			connection.write(repeat.bytes);
+			connection.read(bodyBytes / 2);
+			connection.write(repeat.bytes);
+			connection.read(bodyBytes / 2);
+			connection.write(OWN + repeat.bytes);
+			connection.readAll();
+		});
+				TestProxy proxy = TestProxy.holdingResponses(backend.description(8));
+				RawConnection caller = proxy.connect()) {
+			caller.write(request("GET", RepeatingServer.FIRST_ID));
+			caller.readMessage();
+			caller.write("POST /s HTTP/1.1\r\nHost: h\r\nTry-Id: t1\r\nTime-Left: " + DEADLINE_MS
+					+ "\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes));
+			assertThat(caller.readMessage()).endsWith("\r\n\r\n" + OWN_BODY);
+		}
+	}
+
 	static String request(String method, String id) {
 		return method + " /s HTTP/1.1\r\nHost: h\r\nTry-Id: " + id + "\r\nTime-Left: " + DEADLINE_MS + "\r\n\r\n";
 	}
