--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/ProxyServer.java
@@ -220,6 +220,20 @@
 		return drained;
 	}
 
+	/**
+	 * Closes the connections of callers at the end of a drain that took too long.
+	 * @return completes when they are closed
+	 */
+	public CompletableFuture<Void> closeCallers() {
+		try {
+			return CompletableFuture.runAsync(this.context::closeCallers, this.eventLoop);
+		}
+		catch (RejectedExecutionException exception) {
+			// The proxy was closed with all its connections.
+			return CompletableFuture.completedFuture(null);
+		}
+	}
+
 	/**
 	 * Returns the number of requests that have not ended.
 	 * @return the number
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/CallerConnection.java
@@ -130,6 +130,9 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		if (message instanceof HttpRequest) {
+			this.headStarted = false;
+		}
 		if (this.messages != null) {
 			this.messages.add(message);
 		}
@@ -221,7 +224,6 @@
 			requestNext();
 			return;
 		}
-		this.headStarted = false;
 		this.keepAlive = false;
 		this.encoder.setHeadRequest(HttpMethod.HEAD.equals(request.method()));
 		Either<Rejection, AdmittedHead> admitted = this.context.admission().admit(request, peerAddress());
@@ -437,6 +439,12 @@
 		requestNext();
 	}
 
+	/** Closes the connection after the answers that were written to it. */
+	void closeAfterAnswers() {
+		this.exchange = null;
+		startLingeringClose();
+	}
+
 	@Override
 	public void resetConnection() {
 		this.state = State.CLOSING;
@@ -445,6 +453,16 @@
 		channelContext().close();
 	}
 
+	/**
+	 * Closes the connection although its requests, which stay in flight, have no answer.
+	 */
+	void closeUnanswered() {
+		this.state = State.CLOSING;
+		this.exchange = null;
+		this.earlyRequests.clear();
+		channelContext().close();
+	}
+
 	/**
 	 * Closes the connection if it is idle or too slow.
 	 * @param now the current monotonic time in milliseconds
@@ -476,6 +494,13 @@
 		}
 		else if (!this.headStarted
 				&& waitedMs > (this.context.isDraining() ? timeouts.drainIdle() : timeouts.keepAlive())) {
+			long idleSinceMs = this.stateSinceMs;
+			this.context.afterArrivedInput(() -> closeIfIdle(idleSinceMs));
+		}
+	}
+
+	private void closeIfIdle(long idleSinceMs) {
+		if (this.state == State.HEAD && !this.headStarted && this.stateSinceMs == idleSinceMs) {
 			startLingeringClose();
 		}
 	}
