Give up at once behind a repeat that only its connection ends

What callers saw: 504 at the deadline, if a server sends a repeat without length before their answer.

Cause: the repeat is skipped, and the end of its body is the end of the connection, so the answer behind it is skipped too.

Change: such a response is invalid, as its own answer can never be told from it.

Measured: MisframedRepeatTests.repeatWithoutLengthEndsTheAttempt (2 cases) failed before and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseChecks.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseChecks.java
@@ -5,6 +5,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.wigeonmast.proxy.HeaderConventions;
 
 /**
@@ -34,7 +35,9 @@
 	 * @return whether another response behind it would look like a part of its body
 	 */
 	static boolean endsWithConnection(HttpResponse head, HeaderConventions conventions) {
-		return conventions.requestIdEchoed() && !head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+		boolean bodyless = HttpResponseStatus.NO_CONTENT.equals(head.status())
+				|| HttpResponseStatus.NOT_MODIFIED.equals(head.status());
+		return conventions.requestIdEchoed() && !bodyless && !head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
 				&& !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
 	}
 
--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseKind.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseKind.java
@@ -45,7 +45,8 @@
 			return new Invalid("The response states its length ambiguously");
 		}
 		if (isForeign(head, conventions, requestId)) {
-			return new Foreign();
+			return ResponseChecks.endsWithConnection(head, conventions)
+					? new Invalid("Only the end of the connection ends a response to another request") : new Foreign();
 		}
 		boolean statedNotRun = conventions.statesNotRun(head);
 		if (statedNotRun && !hasRequestId(head, conventions) && !first) {
