Tell an embedded answer with white space before the colon

Cause: the decoder accepts white space between the name of a field and the colon; the search for a repeat did not.

Measured: MisframedRepeatTests.identifierWithASpaceTellsAnAnswerBehindAnAnswerWithoutLength failed before in 2 of 2 cases and passes.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/EmbeddedAnswerDetector.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/EmbeddedAnswerDetector.java
@@ -122,8 +122,9 @@
 
 	private void examineName(byte next) {
 		if (this.matchedName == this.identifierField.length()) {
+			// The decoder of responses accepts white space before the colon too.
 			this.found = next == ':';
-			this.matchedName = NO_MATCH;
+			this.matchedName = (next == ' ' || next == '\t') ? this.matchedName : NO_MATCH;
 		}
 		else if (this.matchedName != NO_MATCH) {
 			boolean matches = Character.toLowerCase((char) next) == Character
