--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/Attempt.java
@@ -134,7 +134,8 @@
 			return;
 		}
 		this.connection = acquired;
-		acquired.attach(this, HttpMethod.HEAD.equals(this.exchange.head().request().method()));
+		this.exchange.recordConnection(acquired);
+		acquired.attach(this, isHeadRequest());
 		send(acquired);
 	}
 
@@ -266,7 +267,8 @@
 	private void acceptHead(HttpResponse head) {
 		this.response = head;
 		this.headAtNanos = System.nanoTime();
-		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreignReceived;
+		// A late repeat of a response to HEAD states a length and has no body.
+		this.reusable = HttpUtil.isKeepAlive(head) && !this.foreignReceived && !isHeadRequest();
 		this.statedNotRun = conventions().statesNotRun(head);
 		if (this.statedNotRun && !ResponseChecks.hasRequestId(head, conventions()) && !isFirstOnConnection()) {
 			this.statedNotRun = false;
@@ -296,6 +298,10 @@
 		}
 	}
 
+	private boolean isHeadRequest() {
+		return HttpMethod.HEAD.equals(this.exchange.head().request().method());
+	}
+
 	private boolean isFirstOnConnection() {
 		return this.connection != null && this.connection.isFirstAttempt() && !this.foreignReceived;
 	}
@@ -490,6 +496,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether the connection carried an earlier attempt of the same request,
+	 * whose late response would look like the response to this one.
+	 * @param candidate the connection
+	 * @return whether this attempt must not use it
+	 */
+	boolean mayConfuseResponses(BackendConnection candidate) {
+		return this.exchange.hasUsed(candidate);
+	}
+
 	int number() {
 		return this.command.attempt();
 	}
