Refuse a response that names several requests

What callers saw: 504 at their deadline, if a head carried their own identifier and another one; the answer was skipped.

Change: such a head belongs to no request with certainty and fails the attempt at once.

--- a/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseKind.java
+++ b/wigeonmast-proxy/src/main/java/org/wigeonmast/proxy/internal/ResponseKind.java
@@ -45,6 +45,9 @@
 			return new Invalid("The response states its length ambiguously");
 		}
 		if (isForeign(head, conventions, requestId)) {
+			if (head.headers().contains(conventions.requestId(), requestId, false)) {
+				return new Invalid("The response names several requests");
+			}
 			return ResponseChecks.endsWithConnection(head, conventions)
 					? new Invalid("Only the end of the connection ends a response to another request") : new Foreign();
 		}
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/internal/ResponseKindTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/internal/ResponseKindTests.java
@@ -18,7 +18,7 @@
 
 	// Guards against a response that is taken for the answer to another request.
 	@ParameterizedTest
-	@CsvSource({ "200, 't1', Answer", "200, 't0', Foreign", "200, 't1 t0', Foreign", "200, 'T1', Foreign",
+	@CsvSource({ "200, 't1', Answer", "200, 't0', Foreign", "200, 't1 t0', Invalid", "200, 'T1', Foreign",
 			"200, '', Invalid", "204, '', Invalid", "304, 't0', Foreign", "500, '', Invalid", "503, 't0', Foreign",
 			"103, 't0', Informational", "100, '', Informational", "101, 't1', Invalid" })
 	void responseIsAnAnswerOnlyWithTheIdentifierOfTheRequest(int status, String ids, String kind) {
