--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/MisframedRepeatTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/MisframedRepeatTests.java
@@ -29,7 +29,6 @@
 	// connection ends.
 	@ParameterizedTest
 	@ValueSource(strings = { "GET", "DELETE" })
-	@Tag("known-red")
 	void repeatWithoutLengthEndsTheAttempt(String method) throws Exception {
 		String repeat = "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\n\r\nfirst";
 		RepeatedAnswerPlacesTests.Result result = RepeatedAnswerPlacesTests.play("GET", FIRST, "", method,
@@ -137,7 +136,6 @@
 	// that the decoder accepts.
 	@ParameterizedTest
 	@ValueSource(strings = { "Try-Id : t0", "Try-Id\t: t0" })
-	@Tag("known-red")
 	void identifierWithASpaceTellsAnAnswerBehindAnAnswerWithoutLength(String identifier) throws Exception {
 		String whole = "HTTP/1.1 200 OK\r\nTry-Id: t1\r\nProof: p\r\nConnection: close\r\n\r\nbody\n";
 		try (ScriptedServer backend = new ScriptedServer((connection) -> {
--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RepeatedAnswerHuntTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/RepeatedAnswerHuntTests.java
@@ -19,7 +19,6 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -78,7 +77,6 @@
 	// connection ends.
 	@ParameterizedTest
 	@MethodSource("playsWithoutLength")
-	@Tag("known-red")
 	void callersDoNotWaitBehindRepeatsWithoutLength(Kind kind, long seed) throws Exception {
 		play(kind, seed);
 	}
