Keep the port of the server that refuses connections

The test freed a port and then opened another server on any port, which got the same one, as its answer shows. A socket that is bound and does not listen refuses connections and keeps its port; no assertion changed.

--- a/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/AttemptTests.java
+++ b/wigeonmast-proxy/src/test/java/org/wigeonmast/proxy/AttemptTests.java
@@ -1,6 +1,7 @@
 package org.wigeonmast.proxy;
 
-import java.net.ServerSocket;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -28,14 +29,14 @@
 	// run, and against a response without Retry-After.
 	@Test
 	void refusedConnectionSendsNothing() throws Exception {
-		int port;
-		try (ServerSocket closed = new ServerSocket(0)) {
-			port = closed.getLocalPort();
-		}
-		try (ScriptedServer other = ScriptedServer.answering(OK)) {
+		// A socket that is bound and does not listen refuses connections and keeps its
+		// port.
+		try (Socket bound = new Socket(); ScriptedServer other = ScriptedServer.answering(OK)) {
+			bound.bind(new InetSocketAddress("127.0.0.1", 0));
 			BackendServer template = other.description(4);
-			BackendServer unreachable = new BackendServer(template.id(), new HostAddress("127.0.0.1", port),
-					template.failureDomain(), template.slots(), template.connections());
+			BackendServer unreachable = new BackendServer(template.id(),
+					new HostAddress("127.0.0.1", bound.getLocalPort()), template.failureDomain(), template.slots(),
+					template.connections());
 			try (TestProxy proxy = new TestProxy(unreachable); RawConnection caller = proxy.connect()) {
 				caller.write(GET);
 				String answer = caller.readMessage();
